--- /dev/null
+++ b/internal/core/model/reason.go
@@ -0,0 +1,182 @@
+package model
+
+// Reason is a code that explains a decision. It is counted in metrics and shown
+// to operators; callers see it in the Outcome-Reason header.
+type Reason uint8
+
+// Reasons for decisions about packets, requests and notes.
+const (
+	ReasonNone Reason = iota
+
+	// Packets.
+	ReasonKnownFlow
+	ReasonHint
+	ReasonTableChoice
+	ReasonAlternative
+	ReasonOtherZone
+	ReasonException
+	ReasonPeerRecord
+	ReasonRetainedTable
+	ReasonRelayToOwner
+	ReasonRelayLookup
+	ReasonTruncated
+	ReasonMalformed
+	ReasonForged
+	ReasonReplayed
+	ReasonTooManyHops
+	ReasonQueueFull
+	ReasonTableFull
+
+	// Packets and requests.
+	ReasonStaleView
+	ReasonNoConfiguration
+	ReasonUnknownService
+	ReasonNoCapacity
+	ReasonZoneWithdrawn
+	ReasonServerRemoved
+	ReasonServerFailed
+	ReasonServerDraining
+	ReasonServerCold
+	ReasonNoOwner
+	ReasonIdle
+
+	// Requests.
+	ReasonOverloaded
+	ReasonShed
+	ReasonClassLimit
+	ReasonTenantLimit
+	ReasonMissingKey
+	ReasonBadAttempt
+	ReasonBadRequest
+	ReasonKeyReused
+	ReasonRepeatedAttempt
+	ReasonEarlierAttemptUnknown
+	ReasonInProgress
+	ReasonAlreadyCompleted
+	ReasonPermitExpired
+	ReasonDeadlinePassed
+	ReasonCallerCancelled
+	ReasonTooLarge
+	ReasonServerSilent
+	ReasonAnswerTruncated
+	ReasonAnswerMismatch
+	ReasonPeerUnreachable
+	ReasonShuttingDown
+	ReasonRetryBudget
+
+	// Release notes.
+	ReasonNoteApplied
+	ReasonNoteOld
+	ReasonNoteGap
+	ReasonNoteMalformed
+	ReasonNoteContradictory
+	ReasonNoteTooLarge
+	ReasonNoteFormat
+	ReasonNoteConflict
+
+	reasonCount
+)
+
+var reasonNames = [reasonCount]string{
+	ReasonNone:                  "none",
+	ReasonKnownFlow:             "known_flow",
+	ReasonHint:                  "hint",
+	ReasonTableChoice:           "table_choice",
+	ReasonAlternative:           "alternative",
+	ReasonOtherZone:             "other_zone",
+	ReasonException:             "exception",
+	ReasonPeerRecord:            "peer_record",
+	ReasonRetainedTable:         "retained_table",
+	ReasonRelayToOwner:          "relay_to_owner",
+	ReasonRelayLookup:           "relay_lookup",
+	ReasonTruncated:             "truncated",
+	ReasonMalformed:             "malformed",
+	ReasonForged:                "forged",
+	ReasonReplayed:              "replayed",
+	ReasonTooManyHops:           "too_many_hops",
+	ReasonQueueFull:             "queue_full",
+	ReasonTableFull:             "table_full",
+	ReasonStaleView:             "stale_view",
+	ReasonNoConfiguration:       "no_configuration",
+	ReasonUnknownService:        "unknown_service",
+	ReasonNoCapacity:            "no_capacity",
+	ReasonZoneWithdrawn:         "zone_withdrawn",
+	ReasonServerRemoved:         "server_removed",
+	ReasonServerFailed:          "server_failed",
+	ReasonServerDraining:        "server_draining",
+	ReasonServerCold:            "server_cold",
+	ReasonNoOwner:               "no_owner",
+	ReasonIdle:                  "idle",
+	ReasonOverloaded:            "overloaded",
+	ReasonShed:                  "shed",
+	ReasonClassLimit:            "class_limit",
+	ReasonTenantLimit:           "tenant_limit",
+	ReasonMissingKey:            "missing_key",
+	ReasonBadAttempt:            "bad_attempt",
+	ReasonBadRequest:            "bad_request",
+	ReasonKeyReused:             "key_reused",
+	ReasonRepeatedAttempt:       "repeated_attempt",
+	ReasonEarlierAttemptUnknown: "earlier_attempt_unknown",
+	ReasonInProgress:            "in_progress",
+	ReasonAlreadyCompleted:      "already_completed",
+	ReasonPermitExpired:         "permit_expired",
+	ReasonDeadlinePassed:        "deadline_passed",
+	ReasonCallerCancelled:       "caller_cancelled",
+	ReasonTooLarge:              "too_large",
+	ReasonServerSilent:          "server_silent",
+	ReasonAnswerTruncated:       "answer_truncated",
+	ReasonAnswerMismatch:        "answer_mismatch",
+	ReasonPeerUnreachable:       "peer_unreachable",
+	ReasonShuttingDown:          "shutting_down",
+	ReasonRetryBudget:           "retry_budget",
+	ReasonNoteApplied:           "note_applied",
+	ReasonNoteOld:               "note_old",
+	ReasonNoteGap:               "note_gap",
+	ReasonNoteMalformed:         "note_malformed",
+	ReasonNoteContradictory:     "note_contradictory",
+	ReasonNoteTooLarge:          "note_too_large",
+	ReasonNoteFormat:            "note_format",
+	ReasonNoteConflict:          "note_conflict",
+}
+
+// String returns the code in the form used by metrics and headers.
+func (r Reason) String() string {
+	if r >= reasonCount {
+		return "invalid"
+	}
+	return reasonNames[r]
+}
+
+// Reasons returns every reason, in order, so that adapters can create one
+// counter for each.
+func Reasons() []Reason {
+	all := make([]Reason, 0, reasonCount)
+	for r := ReasonNone; r < reasonCount; r++ {
+		all = append(all, r)
+	}
+	return all
+}
+
+// Outcome is what a caller may conclude about its request.
+type Outcome uint8
+
+const (
+	// OutcomeUnknown means that the request may have run or may still run.
+	OutcomeUnknown Outcome = iota
+	// OutcomeNotRun means that the request did not run and will not run.
+	OutcomeNotRun
+	// OutcomeCompleted means that the server answered.
+	OutcomeCompleted
+)
+
+// String returns the value of the Outcome header.
+func (o Outcome) String() string {
+	switch o {
+	case OutcomeNotRun:
+		return "not-run"
+	case OutcomeCompleted:
+		return "completed"
+	default:
+		return "outcome-unknown"
+	}
+}
--- /dev/null
+++ b/internal/core/placement/placement.go
@@ -0,0 +1,174 @@
+// Package placement decides by rendezvous hashing where keys belong: the
+// availability zone of a flow, the owner and the successors of a key, the home
+// instance of a backend server and the holder of a slot. The same inputs give
+// the same result on every instance, so no coordination is needed.
+package placement
+
+import (
+	"encoding/binary"
+	"math"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/savorytiller/savorytiller/internal/core/model"
+)
+
+// HashString returns the 64-bit hash of a name.
+func HashString(s string) uint64 { return xxhash.Sum64String(s) }
+
+// ServerNumber returns the 32-bit number that stands for a server in flow
+// records. Note validation refuses two servers of a service with one number.
+func ServerNumber(id model.ServerID) uint32 { return uint32(HashString(string(id))) }
+
+// HashFlow returns the fingerprint of a flow. It covers service, protocol and
+// both endpoints.
+func HashFlow(k model.FlowKey) uint64 {
+	var b [4 + 1 + 2*(16+2)]byte
+	binary.LittleEndian.PutUint32(b[0:], uint32(k.Service))
+	b[4] = k.Protocol
+	src, dst := k.Source.Addr().As16(), k.Destination.Addr().As16()
+	copy(b[5:], src[:])
+	copy(b[21:], dst[:])
+	binary.LittleEndian.PutUint16(b[37:], k.Source.Port())
+	binary.LittleEndian.PutUint16(b[39:], k.Destination.Port())
+	return xxhash.Sum64(b[:])
+}
+
+// Mix combines two hashes into a well distributed third one (the finalizer of
+// SplitMix64; Steele, Lea and Flood, 2014).
+func Mix(a, b uint64) uint64 {
+	z := a ^ (b * 0x9e3779b97f4a7c15)
+	z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9
+	z = (z ^ (z >> 27)) * 0x94d049bb133111eb
+	return z ^ (z >> 31)
+}
+
+// Score returns the weighted rendezvous score of a candidate for a key; the
+// highest score wins, and each candidate wins in proportion to its weight.
+func Score(key, candidate uint64, weight float64) float64 {
+	// 53 random bits, shifted by half a step so that the logarithm is finite.
+	u := (float64(Mix(key, candidate)>>11) + 0.5) / (1 << 53)
+	return -weight / math.Log(u)
+}
+
+// Members is an immutable set of instances prepared for placement.
+type Members struct {
+	all   []model.Member
+	seeds []uint64
+	zones map[model.Zone][]int
+}
+
+// NewMembers prepares the given instances. It copies and sorts them by ID.
+func NewMembers(members []model.Member) *Members {
+	m := &Members{all: slices.Clone(members), zones: map[model.Zone][]int{}}
+	slices.SortFunc(m.all, func(a, b model.Member) int {
+		if a.ID < b.ID {
+			return -1
+		}
+		if a.ID > b.ID {
+			return 1
+		}
+		return 0
+	})
+	m.seeds = make([]uint64, len(m.all))
+	for i := range m.all {
+		m.seeds[i] = HashString(string(m.all[i].ID))
+		m.zones[m.all[i].Zone] = append(m.zones[m.all[i].Zone], i)
+	}
+	return m
+}
+
+// All returns the instances sorted by ID. Callers must not change the slice.
+func (m *Members) All() []model.Member { return m.all }
+
+// Get returns the instance with the given identifier.
+func (m *Members) Get(id model.InstanceID) (*model.Member, bool) {
+	i, ok := slices.BinarySearchFunc(m.all, id, func(a model.Member, id model.InstanceID) int {
+		if a.ID < id {
+			return -1
+		}
+		if a.ID > id {
+			return 1
+		}
+		return 0
+	})
+	if !ok {
+		return nil, false
+	}
+	return &m.all[i], true
+}
+
+// LiveIn returns the number of live, not leaving instances of a zone.
+func (m *Members) LiveIn(zone model.Zone) int {
+	n := 0
+	for _, i := range m.zones[zone] {
+		if m.all[i].Liveness == model.Live {
+			n++
+		}
+	}
+	return n
+}
+
+// Owner returns the live instance of the zone with the highest score for the
+// key, or nil if the zone has none.
+func (m *Members) Owner(zone model.Zone, key uint64) *model.Member {
+	best, bestScore := -1, uint64(0)
+	for _, i := range m.zones[zone] {
+		if m.all[i].Liveness != model.Live {
+			continue
+		}
+		if s := Mix(key, m.seeds[i]); best < 0 || s > bestScore {
+			best, bestScore = i, s
+		}
+	}
+	if best < 0 {
+		return nil
+	}
+	return &m.all[best]
+}
+
+// Rank appends up to limit instances of the zone to dst, by falling score for
+// the key. With leaving set, instances that leave are included.
+func (m *Members) Rank(dst []*model.Member, zone model.Zone, key uint64, limit int, leaving bool) []*model.Member {
+	type ranked struct {
+		index int
+		score uint64
+	}
+	candidates := make([]ranked, 0, len(m.zones[zone]))
+	for _, i := range m.zones[zone] {
+		live := m.all[i].Liveness
+		if live == model.Live || leaving && live == model.Leaving {
+			candidates = append(candidates, ranked{i, Mix(key, m.seeds[i])})
+		}
+	}
+	slices.SortFunc(candidates, func(a, b ranked) int {
+		if a.score > b.score {
+			return -1
+		}
+		if a.score < b.score {
+			return 1
+		}
+		return a.index - b.index
+	})
+	for i := 0; i < len(candidates) && i < limit; i++ {
+		dst = append(dst, &m.all[candidates[i].index])
+	}
+	return dst
+}
+
+// Home returns the instance that alone may use a cold server.
+func (m *Members) Home(server model.ServerID, zone model.Zone) *model.Member {
+	return m.Owner(zone, Mix(HashString(string(server)), homeSalt))
+}
+
+// SlotHolder returns the instance that holds a slot of a server.
+func (m *Members) SlotHolder(server model.ServerID, zone model.Zone, slot int) *model.Member {
+	return m.Owner(zone, Mix(HashString(string(server)), slotSalt+uint64(slot)))
+}
+
+// Salts keep the placements of different things independent of each other.
+const (
+	homeSalt uint64 = 0x686f6d65 << 32
+	slotSalt uint64 = 0x736c6f74 << 32
+)
--- /dev/null
+++ b/internal/port/errors.go
@@ -0,0 +1,15 @@
+package port
+
+import "github.com/ansel1/merry/v2"
+
+// Errors that adapters convert the errors of their libraries to.
+var (
+	// ErrNotFound means that the key or the instance does not exist.
+	ErrNotFound = merry.Sentinel("not found")
+	// ErrUnavailable means that the other end did not answer in time.
+	ErrUnavailable = merry.Sentinel("unavailable")
+	// ErrForged means that a message failed authentication.
+	ErrForged = merry.Sentinel("message failed authentication")
+	// ErrTooLarge means that a message or value is over its size limit.
+	ErrTooLarge = merry.Sentinel("message too large")
+)
--- /dev/null
+++ b/internal/port/port.go
@@ -0,0 +1,73 @@
+// Package port defines the interfaces between the core with its threads on one
+// side and the adapters on the other.
+package port
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/savorytiller/savorytiller/internal/core/model"
+	"github.com/savorytiller/savorytiller/internal/core/view"
+)
+
+// Clock gives the monotonic time.
+type Clock interface {
+	Now() model.Time
+}
+
+// ViewReader gives the newest published view; nil before the first one.
+type ViewReader interface {
+	View() *view.View
+}
+
+// PacketSender sends one encapsulated packet. It must not keep the slice.
+type PacketSender interface {
+	SendPacket(to netip.AddrPort, packet []byte) error
+}
+
+// Recorder counts decisions and measures durations. Its methods are safe for
+// concurrent use and never block.
+type Recorder interface {
+	// Count adds one to the counter of a reason within a part, for example
+	// "flow" or "request".
+	Count(part string, reason model.Reason)
+	// Observe adds a duration to the histogram of a metric for a tenant and class.
+	Observe(metric, tenant, class string, d time.Duration)
+	// Decision keeps one decision for the explain command.
+	Decision(d Decision)
+}
+
+// Decision is an entry of the bounded list of recent decisions.
+type Decision struct {
+	At      model.Time
+	Part    string
+	Reason  model.Reason
+	Subject string
+	Detail  string
+}
+
+// ConfigSource reads the platform's configuration service.
+type ConfigSource interface {
+	// Read returns the value of a key. The error is ErrNotFound for a key that
+	// does not exist and ErrUnavailable if the service does not answer.
+	Read(ctx context.Context, key string) ([]byte, error)
+	// Watch returns the value of a key once its revision differs from known,
+	// or after the service's own time limit with the unchanged revision.
+	Watch(ctx context.Context, key string, known uint64) (value []byte, revision uint64, err error)
+}
+
+// InstanceList reads the platform's lagging list of instances.
+type InstanceList interface {
+	Instances(ctx context.Context) ([]model.Member, error)
+}
+
+// PeerCaller calls a method of another instance. Params and result are typed
+// messages that the adapter encodes.
+type PeerCaller interface {
+	Call(ctx context.Context, to model.Member, method string, params, result any) error
+}
+
+// PeerHandler answers the calls of other instances for one method. The decode
+// function fills a typed message with the parameters.
+type PeerHandler func(ctx context.Context, from model.InstanceID, decode func(any) error) (any, error)
--- /dev/null
+++ b/scripts/test.sh
@@ -0,0 +1,14 @@
+#!/usr/bin/env bash
+# Runs all tests with a fixed seed for the property tests.
+# Usage: scripts/test.sh SEED CHECKS
+set -euo pipefail
+cd "$(dirname "$0")/.."
+seed=$1 checks=$2
+property=$(go list -f '{{range .TestImports}}{{if eq . "pgregory.net/rapid"}}{{$.ImportPath}}{{end}}{{end}}{{range .XTestImports}}{{if eq . "pgregory.net/rapid"}}{{$.ImportPath}}{{end}}{{end}}' ./... | sort -u)
+plain=$(go list ./... | grep -vxF "${property:-none}" || true)
+if [ -n "$plain" ]; then
+  go test $plain
+fi
+if [ -n "$property" ]; then
+  go test $property -rapid.seed="$seed" -rapid.checks="$checks" -rapid.nofailfile
+fi
