--- /dev/null
+++ b/internal/port/flow.go
@@ -0,0 +1,18 @@
+package port
+
+import (
+	"net/netip"
+
+	"github.com/savorytiller/savorytiller/internal/core/flow"
+)
+
+// FlowCodec encodes and decodes the messages of the data plane. A codec is used
+// by one goroutine at a time.
+type FlowCodec interface {
+	// Decode fills m from a datagram. m.Inner shares the datagram's memory. The
+	// error is ErrTruncated, ErrMalformed or ErrForged.
+	Decode(datagram []byte, m *flow.Message) error
+	// Encode returns the datagram of a message to the given address. The result
+	// is valid until the next call.
+	Encode(to netip.AddrPort, m *flow.Message) ([]byte, error)
+}
--- /dev/null
+++ b/internal/traffic/flows/pool.go
@@ -0,0 +1,125 @@
+// Package flows runs the flow workers. Each worker owns one shard of the flow
+// table and blocks on its packet channel while it is idle.
+//
+// Wiring in an entry instance:
+//
+//	socket, err := geneve.Listen(settings.FlowAddress)
+//	pool := flows.New(flows.Options{
+//		Shards: 4, QueueLength: 1024, MaxFlows: 1_000_000,
+//		Views: control, Clock: clock, Sender: socket, Recorder: metrics,
+//		NewCodec: func() port.FlowCodec { return geneve.NewCodec(geneve.Options{Self: socket.Address(), Keys: keys}) },
+//		Observe: control.ObserveFlow,
+//	})
+//	go pool.Run(ctx)                              // returns once all workers ended
+//	go socket.Serve(ctx, pool.NewReader().Receive) // one reader per Serve
+package flows
+
+import (
+	"context"
+	"errors"
+	"sync"
+
+	"github.com/savorytiller/savorytiller/internal/core/flow"
+	"github.com/savorytiller/savorytiller/internal/core/model"
+	"github.com/savorytiller/savorytiller/internal/port"
+)
+
+// part is the name of this part in counters.
+const part = "flow"
+
+// Options configure a Pool. All fields but Observe are required.
+type Options struct {
+	// Shards is the number of workers.
+	Shards int
+	// QueueLength bounds the packets that wait for one worker.
+	QueueLength int
+	// MaxFlows bounds the flow records of the instance.
+	MaxFlows int
+
+	Views    port.ViewReader
+	Clock    port.Clock
+	Sender   port.PacketSender
+	Recorder port.Recorder
+	// NewCodec is called once for each worker and reader.
+	NewCodec func() port.FlowCodec
+	// Observe passes an observation about a backend server on. It must not
+	// block; nil ignores observations.
+	Observe func(flow.Observation)
+}
+
+// Pool is the set of flow workers of an instance.
+type Pool struct {
+	options Options
+	workers []*worker
+	jobs    sync.Pool
+}
+
+// job is a datagram with the message decoded from it.
+type job struct {
+	message flow.Message
+	buffer  []byte
+}
+
+// New returns a pool whose workers are not started yet.
+func New(o Options) *Pool {
+	p := &Pool{options: o}
+	p.jobs.New = func() any { return &job{} }
+	for range o.Shards {
+		p.workers = append(p.workers, newWorker(p))
+	}
+	return p
+}
+
+// Run runs the workers until the context ends.
+func (p *Pool) Run(ctx context.Context) {
+	var group sync.WaitGroup
+	for _, w := range p.workers {
+		group.Go(func() { w.run(ctx) })
+	}
+	group.Wait()
+}
+
+// Reader decodes datagrams and posts them to the workers. It is used by one
+// goroutine.
+type Reader struct {
+	pool  *Pool
+	codec port.FlowCodec
+}
+
+// NewReader returns a reader for one socket.
+func (p *Pool) NewReader() *Reader { return &Reader{pool: p, codec: p.options.NewCodec()} }
+
+// Receive decodes a datagram and posts it to the worker of its flow. It copies
+// the datagram. If the worker's queue is full, the packet is dropped.
+func (r *Reader) Receive(datagram []byte) {
+	p := r.pool
+	j := p.jobs.Get().(*job)
+	j.buffer = append(j.buffer[:0], datagram...)
+	if err := r.codec.Decode(j.buffer, &j.message); err != nil {
+		p.options.Recorder.Count(part, reasonOf(err))
+		p.jobs.Put(j)
+		return
+	}
+	select {
+	case p.workers[p.shardOf(j.message.Fingerprint)].queue <- j:
+	default:
+		p.options.Recorder.Count(part, model.ReasonQueueFull)
+		p.jobs.Put(j)
+	}
+}
+
+// shardOf maps the upper half of a fingerprint evenly to the shards.
+func (p *Pool) shardOf(fingerprint uint64) int {
+	return int((fingerprint >> 32) * uint64(len(p.workers)) >> 32)
+}
+
+func reasonOf(err error) model.Reason {
+	switch {
+	case errors.Is(err, port.ErrTruncated):
+		return model.ReasonTruncated
+	case errors.Is(err, port.ErrForged):
+		return model.ReasonForged
+	default:
+		return model.ReasonMalformed
+	}
+}
