--- /dev/null
+++ b/internal/core/placement/placement_test.go
@@ -0,0 +1,86 @@
+package placement
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/savorytiller/savorytiller/internal/core/model"
+)
+
+func members(n int) []model.Member {
+	all := make([]model.Member, n)
+	for i := range all {
+		all[i] = model.Member{ID: model.InstanceID(fmt.Sprintf("i%03d", i)), Zone: "a"}
+	}
+	return all
+}
+
+// Guards against a membership change that moves keys between instances that
+// did not change, which would move flows without need.
+func TestOwnerMovesOnlyKeysOfTheChangedInstance(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(2, 40).Draw(t, "n")
+		gone := rapid.IntRange(0, n-1).Draw(t, "gone")
+		key := rapid.Uint64().Draw(t, "key")
+		all := members(n)
+		before := NewMembers(all).Owner("a", key)
+		all[gone].Liveness = model.Dead
+		after := NewMembers(all).Owner("a", key)
+		if before.ID != all[gone].ID {
+			require.Equal(t, before.ID, after.ID)
+		} else {
+			ranked := NewMembers(members(n)).Rank(nil, "a", key, 2, false)
+			require.Equal(t, ranked[1].ID, after.ID, "the key moves to its first successor")
+		}
+	})
+}
+
+// Guards against a slot that no live instance holds, or that two hold in one view.
+func TestEverySlotHasOneLiveHolder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		all := members(rapid.IntRange(1, 10).Draw(t, "n"))
+		all[0].Liveness = model.Leaving
+		m := NewMembers(all)
+		holder := m.SlotHolder("s1", "a", rapid.IntRange(0, 64).Draw(t, "slot"))
+		if m.LiveIn("a") == 0 {
+			require.Nil(t, holder)
+			return
+		}
+		require.Equal(t, model.Live, holder.Liveness)
+	})
+}
+
+// Guards against weights that have no effect or too much of it.
+func TestScoreSharesFollowWeights(t *testing.T) {
+	const keys = 200_000
+	wins := 0
+	for k := uint64(0); k < keys; k++ {
+		if Score(Mix(k, 1), 11, 3) > Score(Mix(k, 1), 22, 1) {
+			wins++
+		}
+	}
+	require.InDelta(t, 0.75, float64(wins)/keys, 0.01)
+}
+
+// Guards against a fingerprint that ignores a part of the flow key.
+func TestHashFlowCoversEveryField(t *testing.T) {
+	base := model.FlowKey{Service: 1, Protocol: 6,
+		Source: netip.MustParseAddrPort("10.0.0.1:1000"), Destination: netip.MustParseAddrPort("10.0.0.2:80")}
+	changes := map[string]func(*model.FlowKey){
+		"service":             func(k *model.FlowKey) { k.Service = 2 },
+		"protocol":            func(k *model.FlowKey) { k.Protocol = 17 },
+		"source address":      func(k *model.FlowKey) { k.Source = netip.MustParseAddrPort("10.0.0.3:1000") },
+		"source port":         func(k *model.FlowKey) { k.Source = netip.MustParseAddrPort("10.0.0.1:1001") },
+		"destination address": func(k *model.FlowKey) { k.Destination = netip.MustParseAddrPort("10.0.0.3:80") },
+		"destination port":    func(k *model.FlowKey) { k.Destination = netip.MustParseAddrPort("10.0.0.2:81") },
+	}
+	for name, change := range changes {
+		changed := base
+		change(&changed)
+		require.NotEqual(t, HashFlow(base), HashFlow(changed), name)
+	}
+}
