--- a/internal/adapter/geneve/codec_test.go
+++ b/internal/adapter/geneve/codec_test.go
@@ -1,6 +1,7 @@
 package geneve
 
 import (
+	"bytes"
 	"net"
 	"net/netip"
 	"testing"
@@ -134,3 +135,18 @@
 		}
 	})
 }
+
+// FuzzDecodeRecords guards against packed records that make the decoder panic
+// or that change when they are packed again.
+func FuzzDecodeRecords(f *testing.F) {
+	c := NewCodec(Options{Self: selfAddress})
+	f.Add(c.EncodeRecords(nil, []flow.Record{{Fingerprint: 1, Service: 17, Server: 3, Age: 5}, {Fingerprint: 2, Service: 9, Void: true}}))
+	f.Add([]byte{1, 2, 3})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		records, err := c.DecodeRecords(b)
+		if err == nil {
+			require.Equal(t, len(b), len(records)*recordLength)
+			require.True(t, bytes.Equal(b, c.EncodeRecords(nil, records)))
+		}
+	})
+}
--- /dev/null
+++ b/internal/adapter/geneve/records.go
@@ -0,0 +1,56 @@
+package geneve
+
+import (
+	"encoding/binary"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/savorytiller/savorytiller/internal/core/flow"
+	"github.com/savorytiller/savorytiller/internal/core/model"
+	"github.com/savorytiller/savorytiller/internal/port"
+)
+
+// recordLength is the size in bytes of a packed record: the fingerprint (8),
+// the void bit with the age (1), the service (3) and the server's number (4).
+const (
+	recordLength = 16
+	voidBit      = 0x80
+)
+
+// EncodeRecords implements port.FlowCodec.
+func (c *Codec) EncodeRecords(dst []byte, records []flow.Record) []byte {
+	for i := range records {
+		r := &records[i]
+		word := uint32(min(r.Age, flow.MaxAge))<<24 | uint32(r.Service)
+		if r.Void {
+			word |= voidBit << 24
+		}
+		dst = binary.BigEndian.AppendUint64(dst, r.Fingerprint)
+		dst = binary.BigEndian.AppendUint32(dst, word)
+		dst = binary.BigEndian.AppendUint32(dst, r.Server)
+	}
+	return dst
+}
+
+// DecodeRecords implements port.FlowCodec.
+func (c *Codec) DecodeRecords(packed []byte) ([]flow.Record, error) {
+	if len(packed)%recordLength != 0 {
+		return nil, port.ErrTruncated
+	}
+	records := make([]flow.Record, 0, len(packed)/recordLength)
+	for ; len(packed) > 0; packed = packed[recordLength:] {
+		word := binary.BigEndian.Uint32(packed[8:])
+		r := flow.Record{
+			Fingerprint: binary.BigEndian.Uint64(packed),
+			Service:     model.ServiceID(word) & model.MaxServiceID,
+			Server:      binary.BigEndian.Uint32(packed[12:]),
+			Age:         uint8(word>>24) &^ voidBit,
+			Void:        word>>24&voidBit != 0,
+		}
+		if r.Service == 0 {
+			return nil, merry.Prepend(port.ErrMalformed, "flow record without a service")
+		}
+		records = append(records, r)
+	}
+	return records, nil
+}
--- /dev/null
+++ b/internal/core/flow/changes_test.go
@@ -0,0 +1,193 @@
+package flow
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/savorytiller/savorytiller/internal/core/model"
+)
+
+var (
+	fourZones  = map[model.Zone]int{"halle-a": 2, "halle-b": 2, "halle-c": 2, "qs-labor": 1}
+	someServer = map[model.Zone]int{"halle-a": 4, "halle-b": 4, "halle-c": 4, "qs-labor": 3}
+)
+
+// drainPeriod is the time that a leaving instance keeps running.
+const drainPeriod = 30 * time.Second
+
+// pick returns a random server of the first service that satisfies a condition.
+func (f *fleet) pick(cond func(model.Server) bool) *model.Server {
+	var all []model.Server
+	for _, s := range f.config.Services[0].Servers {
+		if cond(s) {
+			all = append(all, s)
+		}
+	}
+	if len(all) == 0 {
+		return nil
+	}
+	return &all[f.rng.IntN(len(all))]
+}
+
+func (f *fleet) editServer(id model.ServerID, edit func(*model.Server)) {
+	f.change(func(c *model.Configuration) {
+		for i := range c.Services[0].Servers {
+			if c.Services[0].Servers[i].ID == id {
+				edit(&c.Services[0].Servers[i])
+			}
+		}
+	})
+}
+
+func active(s model.Server) bool { return s.State == model.ServerActive }
+
+// plannedChanges are the changes that operators make. Each returns without
+// effect if it does not apply.
+var plannedChanges = map[string]func(f *fleet){
+	"add server": func(f *fleet) {
+		zone := sortedZones(someServer)[f.rng.IntN(4)]
+		f.change(func(c *model.Configuration) {
+			c.Services[0].Servers = append(c.Services[0].Servers, f.newServer(zone))
+		})
+	},
+	"drain server": func(f *fleet) {
+		if s := f.pick(active); s != nil && len(f.config.Services[0].Servers)-len(f.draining) > 8 {
+			f.editServer(s.ID, func(s *model.Server) { s.State = model.ServerDraining })
+			f.draining[s.ID] = f.now
+		}
+	},
+	"remove drained server": func(f *fleet) {
+		s := f.pick(func(s model.Server) bool { return !active(s) })
+		if s == nil {
+			return
+		}
+		f.excuse(func(x model.Server) bool { return x.ID == s.ID })
+		delete(f.draining, s.ID)
+		f.change(func(c *model.Configuration) {
+			c.Services[0].Servers = slices.DeleteFunc(c.Services[0].Servers, func(x model.Server) bool { return x.ID == s.ID })
+		})
+	},
+	"change weight": func(f *fleet) {
+		if s := f.pick(active); s != nil {
+			f.editServer(s.ID, func(s *model.Server) { s.Weight = uint16(20 + f.rng.IntN(300)) })
+		}
+	},
+	"add instance": func(f *fleet) {
+		if len(f.members) < 12 {
+			f.join(sortedZones(fourZones)[f.rng.IntN(4)])
+		}
+	},
+	"drain instance": func(f *fleet) { f.leave() },
+	"replace instance": func(f *fleet) {
+		if m := f.leave(); m != nil {
+			f.join(m.Zone)
+		}
+	},
+	"zone out": func(f *fleet) {
+		zone := sortedZones(fourZones)[f.rng.IntN(4)]
+		if len(f.config.WithdrawnZones) > 0 {
+			return
+		}
+		f.excuse(func(s model.Server) bool { return s.Zone == zone })
+		f.withdrawn[zone] = f.now
+		f.change(func(c *model.Configuration) { c.WithdrawnZones = []model.Zone{zone} })
+	},
+	"zone back": func(f *fleet) {
+		if len(f.config.WithdrawnZones) == 0 {
+			return
+		}
+		clear(f.withdrawn)
+		f.change(func(c *model.Configuration) { c.WithdrawnZones = nil })
+	},
+}
+
+// leave lets a random instance leave whose zone keeps another one.
+func (f *fleet) leave() *model.Member {
+	m := &f.members[f.rng.IntN(len(f.members))]
+	others := 0
+	for i := range f.members {
+		if f.members[i].Zone == m.Zone && f.members[i].Liveness == model.Live && f.members[i].ID != m.ID {
+			others++
+		}
+	}
+	if m.Liveness != model.Live || others == 0 {
+		return nil
+	}
+	m.Liveness = model.Leaving
+	f.engines[m.FlowAddress].gone = f.now.Add(drainPeriod)
+	return m
+}
+
+func changeNames(without ...string) []string {
+	var names []string
+	for name := range plannedChanges {
+		if !slices.Contains(without, name) {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// run applies random changes, up to three at once, while flows open and send.
+func (f *fleet) run(t *rapid.T, names []string, rounds int) {
+	for range 60 {
+		f.open(0, time.Duration(200+f.rng.IntN(20000))*time.Millisecond)
+	}
+	for range 10 {
+		f.step(200 * time.Millisecond)
+	}
+	for range rounds {
+		for range rapid.IntRange(1, 3).Draw(t, "at once") {
+			plannedChanges[rapid.SampledFrom(names).Draw(t, "change")](f)
+		}
+		f.spread(f.lag)
+		for i := range rapid.IntRange(2, 60).Draw(t, "steps") {
+			f.step(200 * time.Millisecond)
+			if i%4 == 0 {
+				f.open(0, time.Duration(200+f.rng.IntN(20000))*time.Millisecond)
+			}
+		}
+	}
+	for range 200 { // idle flows send at least once more
+		f.step(200 * time.Millisecond)
+	}
+}
+
+// Guards against established flows that reach another server while servers and
+// instances are added, drained and replaced, several at once, and views reach
+// the instances late, unevenly, twice and out of order.
+func TestPlannedChangeBreaksNoFlow(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFleet(rapid.Uint64().Draw(t, "seed"), fourZones, someServer, 1)
+		f.run(t, changeNames("zone out", "zone back"), 6)
+		require.Zero(t, f.totalBroken(), "broken by reason: %v", f.broken)
+		require.Positive(t, f.delivered)
+	})
+}
+
+// Guards against packets to an availability zone that is out of service once
+// the note has reached all instances, and against flows in other zones that
+// break when a zone leaves and returns.
+func TestZoneWithdrawnGetsNoPackets(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFleet(rapid.Uint64().Draw(t, "seed"), fourZones, someServer, 1)
+		f.run(t, []string{"zone out", "zone back"}, 6)
+		require.Empty(t, f.late)
+		require.Zero(t, f.totalBroken(), "broken by reason: %v", f.broken)
+	})
+}
+
+// Guards against new flows on a draining server once the note has reached all
+// instances.
+func TestLeavingServerGetsNoNewFlow(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFleet(rapid.Uint64().Draw(t, "seed"), fourZones, someServer, 1)
+		f.run(t, changeNames(), 6)
+		require.Empty(t, f.late)
+	})
+}
--- a/internal/core/flow/decision.go
+++ b/internal/core/flow/decision.go
@@ -2,8 +2,10 @@
 
 import (
 	"net/netip"
+	"time"
 
 	"github.com/savorytiller/savorytiller/internal/core/model"
+	"github.com/savorytiller/savorytiller/internal/core/view"
 )
 
 // Verb says what to do with the packet of a message.
@@ -18,6 +20,14 @@
 	Forward
 )
 
+// Envelope holds what a message to another instance carries beside its packet.
+type Envelope struct {
+	Kind          Kind
+	Hops, Attempt uint8
+	Server        uint32
+	Validity      time.Duration
+}
+
 // Decision is the result of a message: what happens to its packet, what is
 // told to another instance, and what was observed.
 type Decision struct {
@@ -26,20 +36,36 @@
 	// To is the server's or the instance's flow address.
 	To      netip.AddrPort
 	Service model.ServiceID
-	// Out holds the fields of a forwarded packet: Kind, Sender, Hops, Attempt,
-	// Server.
-	Out Message
+	// Out goes with a forwarded packet. It is not set for the other verbs.
+	Out Envelope
 
-	// Tell is set if a hint or record is sent to TellTo.
+	// Tell is set if a hint or record (Note) is sent to TellTo.
 	Tell   bool
 	TellTo netip.AddrPort
-	Note   Message
+	Note   Envelope
 
-	// Observed is what the packet shows about its server; ObservedNone if nothing.
+	// Observed is what the packet shows about its server.
 	Observed Observation
-	// Broken is the reason if a known flow ended because its server or
+	// Ended is the reason if a known flow ended because its server or its
 	// availability zone is gone, else ReasonNone.
-	Broken model.Reason
+	Ended model.Reason
+}
+
+func (d *Decision) reset() {
+	d.Verb, d.Reason, d.Tell, d.Ended = Drop, model.ReasonNone, false, model.ReasonNone
+	d.Observed.Kind = ObservedNone
+}
+
+func (d *Decision) deliver(server *view.Server, reason model.Reason) {
+	d.Verb, d.Reason, d.To, d.Service = Deliver, reason, server.FlowAddress, server.Service
+}
+
+func (d *Decision) forward(to netip.AddrPort, service model.ServiceID, reason model.Reason, out Envelope) {
+	d.Verb, d.Reason, d.To, d.Service, d.Out = Forward, reason, to, service, out
+}
+
+func (d *Decision) tell(to netip.AddrPort, note Envelope) {
+	d.Tell, d.TellTo, d.Note = true, to, note
 }
 
 // ObservationKind is what a flow shows about a backend server.
@@ -64,3 +90,43 @@
 	// Repeats counts the repetitions of a SYN.
 	Repeats uint8
 }
+
+// Record is a flow as instances hand it to each other.
+type Record struct {
+	Fingerprint uint64
+	Service     model.ServiceID
+	Server      uint32
+	// Age is the age of the flow in units of AgeUnit, at most MaxAge.
+	Age uint8
+	// Void is set if the flow ended and the receiver's copy is to be removed.
+	Void bool
+}
+
+// AgeUnit is the unit of Record.Age: 2^37 ns, 137 s. MaxAge stands for all ages
+// over 4.8 hours.
+const (
+	AgeUnit time.Duration = 1 << 37
+	MaxAge                = 127
+)
+
+// Batch is a set of records for one instance.
+type Batch struct {
+	To      model.Member
+	Records []Record
+}
+
+// Ended is a flow that was removed. Only ReasonIdle is a normal end.
+type Ended struct {
+	Fingerprint uint64
+	Service     model.ServiceID
+	Server      uint32
+	Reason      model.Reason
+}
+
+// Output collects what a Tick asks for. The caller may reuse it.
+type Output struct {
+	Batches []Batch
+	Ended   []Ended
+	// Silent holds flows without packets from the caller for SilentAfter.
+	Silent []Ended
+}
--- /dev/null
+++ b/internal/core/flow/learn.go
@@ -0,0 +1,126 @@
+package flow
+
+import (
+	"time"
+
+	"github.com/savorytiller/savorytiller/internal/core/model"
+	"github.com/savorytiller/savorytiller/internal/core/view"
+)
+
+// Learn handles a hint or the answer to a lookup. It returns ReasonHint or
+// ReasonPeerRecord if the message was used, else why it was not.
+func (s *Shard) Learn(v *view.View, now model.Time, m *Message) model.Reason {
+	if reason := s.check(v, now); reason != model.ReasonNone {
+		return reason
+	}
+	if !s.accept(m.Sender, m.Sequence) {
+		return model.ReasonReplayed
+	}
+	if v.ByNumber[view.ServerRef{Service: m.Service, Number: m.Server}] == nil {
+		return model.ReasonServerRemoved
+	}
+	r := s.records.find(m.Fingerprint)
+	if m.Kind == KindHint {
+		return s.learnHint(r, now, m)
+	}
+	if r != nil && r.role() == roleOwn && r.service() == m.Service {
+		return model.ReasonKnownFlow
+	}
+	if r = s.put(m.Fingerprint, m.Service, m.Server, roleOwn, now); r == nil {
+		return model.ReasonTableFull
+	}
+	if m.Attempt < firstPlace {
+		r.word |= flagEstablish | flagProgress
+	}
+	s.classify(r)
+	return model.ReasonPeerRecord
+}
+
+// learnHint stores a hint, unless this instance owns the flow itself.
+func (s *Shard) learnHint(r *record, now model.Time, m *Message) model.Reason {
+	if r != nil && r.role() == roleOwn && r.service() == m.Service {
+		return model.ReasonKnownFlow
+	}
+	if r != nil && r.role() == roleCopy && r.server == m.Server {
+		// The copy stays for lookups once the hint has expired.
+		r.setRole(roleHint)
+	} else if r = s.put(m.Fingerprint, m.Service, m.Server, roleHint, now); r == nil {
+		return model.ReasonTableFull
+	}
+	r.extra = (tickOf(now) + ticks(min(m.Validity, HintValidity))) & tickMask
+	return model.ReasonHint
+}
+
+// LearnRecords stores records that other instances handed over. It returns how
+// many were used.
+func (s *Shard) LearnRecords(v *view.View, now model.Time, records []Record) int {
+	if s.check(v, now) != model.ReasonNone {
+		return 0
+	}
+	used := 0
+	for i := range records {
+		if s.learnRecord(now, &records[i]) {
+			used++
+		}
+	}
+	return used
+}
+
+func (s *Shard) learnRecord(now model.Time, x *Record) bool {
+	r := s.records.find(x.Fingerprint)
+	if x.Void {
+		if r == nil || r.role() != roleCopy || r.service() != x.Service || r.server != x.Server {
+			return false
+		}
+		s.drop(r)
+		return true
+	}
+	server := s.view.ByNumber[view.ServerRef{Service: x.Service, Number: x.Server}]
+	if server == nil || r != nil && r.role() == roleOwn && r.service() == x.Service {
+		return false
+	}
+	if r != nil && r.role() == roleCopy && r.service() == x.Service && r.server == x.Server {
+		r.touch(tickOf(now)) // refreshed by its owner
+		return true
+	}
+	as, counted := s.roleOf(x, server)
+	if r = s.put(x.Fingerprint, x.Service, x.Server, as, now); r == nil {
+		return false
+	}
+	r.extra = uint32(bornOf(now.Add(-time.Duration(x.Age)*AgeUnit))) << 16
+	r.word |= flagEstablish
+	if as == roleOwn {
+		r.word |= flagProgress
+		s.classify(r)
+		return true
+	}
+	r.word |= flagException | flagSent // its owner has it
+	if counted {
+		r.word |= flagCounted
+		s.connections[view.ServerRef{Service: r.service(), Number: r.server}]++
+	}
+	return true
+}
+
+// roleOf returns what a record is that another instance sent. A copy uses a
+// connection of its server if the server is in this zone and the flow's owner
+// is not: then nobody else counts it.
+func (s *Shard) roleOf(x *Record, server *view.Server) (as role, counted bool) {
+	e := s.byID[x.Service]
+	if e == nil {
+		return roleCopy, false
+	}
+	owner, _ := s.route(e).owner(x.Fingerprint)
+	if owner == nil || owner.ID == s.view.Self.ID {
+		return roleOwn, false
+	}
+	return roleCopy, server.Zone == s.view.Self.Zone && owner.Zone != s.view.Self.Zone
+}
+
+// classify marks an own flow as an exception if it is one.
+func (s *Shard) classify(r *record) {
+	r.word &^= flagException | flagSent
+	if e := s.byID[r.service()]; e != nil && s.route(e).exception(r.fingerprint, r.server) {
+		r.word |= flagException
+	}
+}
--- a/internal/core/flow/message.go
+++ b/internal/core/flow/message.go
@@ -23,7 +23,11 @@
 	KindRelay
 	// KindLookup passes a packet on to an instance that may know its flow.
 	KindLookup
-	// KindNotKnown returns a packet to the instance that looked its flow up.
+	// KindPlace passes the first packet of a flow on to an instance in another
+	// availability zone, which may choose one of its zone's servers.
+	KindPlace
+	// KindNotKnown returns a packet to the instance that looked its flow up or
+	// had it placed.
 	KindNotKnown
 	// KindHint tells an instance the server of a flow that it often relays.
 	KindHint
@@ -73,7 +77,8 @@
 	Sequence uint64
 	// Hops counts the instances that passed the packet on.
 	Hops uint8
-	// Attempt numbers the lookups of one packet.
+	// Attempt numbers the lookups of one packet; from firstPlace on it numbers
+	// the availability zones that were asked to place it.
 	Attempt uint8
 	// Server is the number of the flow's server, or 0. On a relay it is what
 	// the sender last knew.
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -128,6 +128,35 @@
 	return &m.all[best]
 }
 
+// Second returns the live instance of the zone with the highest score for the
+// key apart from the given one, or nil if there is none.
+func (m *Members) Second(zone model.Zone, key uint64, except model.InstanceID) *model.Member {
+	best, bestScore := -1, uint64(0)
+	for _, i := range m.zones[zone] {
+		if m.all[i].Liveness != model.Live || m.all[i].ID == except {
+			continue
+		}
+		if s := Mix(key, m.seeds[i]); best < 0 || s > bestScore {
+			best, bestScore = i, s
+		}
+	}
+	if best < 0 {
+		return nil
+	}
+	return &m.all[best]
+}
+
+// Digest returns a hash over what placement depends on: identifiers, runs,
+// zones and liveness.
+func (m *Members) Digest() uint64 {
+	digest := uint64(len(m.all))
+	for i := range m.all {
+		x := &m.all[i]
+		digest = Mix(digest, m.seeds[i]^uint64(x.Incarnation)<<2^uint64(x.Liveness)^HashString(string(x.Zone)))
+	}
+	return digest
+}
+
 // Rank appends up to limit instances of the zone to dst, by falling score for
 // the key. With leaving set, instances that leave are included.
 func (m *Members) Rank(dst []*model.Member, zone model.Zone, key uint64, limit int, leaving bool) []*model.Member {
--- a/internal/core/table/table.go
+++ b/internal/core/table/table.go
@@ -4,6 +4,7 @@
 package table
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -25,6 +26,8 @@
 type Table struct {
 	// Servers holds the servers of the zone, sorted by ID.
 	Servers []model.Server
+	// Numbers holds the number of each server (placement.ServerNumber).
+	Numbers []uint32
 	entries []uint16
 }
 
@@ -36,8 +39,10 @@
 		return t
 	}
 	seeds := make([]uint64, len(servers))
+	t.Numbers = make([]uint32, len(servers))
 	for i := range servers {
 		seeds[i] = placement.HashString(string(servers[i].ID))
+		t.Numbers[i] = placement.ServerNumber(servers[i].ID)
 	}
 	t.entries = make([]uint16, Size)
 	for e := range t.entries {
@@ -61,6 +66,22 @@
 	return &t.Servers[t.entries[hash&(Size-1)]]
 }
 
+// LookupNumber returns the number of the server for a flow hash. The result is
+// false for an empty table.
+func (t *Table) LookupNumber(hash uint64) (uint32, bool) {
+	if len(t.entries) == 0 {
+		return 0, false
+	}
+	return t.Numbers[t.entries[hash&(Size-1)]], true
+}
+
+// Score returns the rendezvous score of the server with the given index for a
+// flow hash. The server with the highest score is the alternative if the
+// table's choice may get no new work.
+func (t *Table) Score(hash uint64, index int) float64 {
+	return placement.Score(hash, uint64(t.Numbers[index]), float64(t.Servers[index].Weight))
+}
+
 // ZoneTable is the table of one availability zone of a service.
 type ZoneTable struct {
 	Zone model.Zone
@@ -117,6 +138,18 @@
 	return best
 }
 
+// Ranked appends the zones to dst in rendezvous order for a flow hash.
+func (g *Generation) Ranked(dst []*ZoneTable, hash uint64) []*ZoneTable {
+	first := len(dst)
+	for i := range g.Zones {
+		dst = append(dst, &g.Zones[i])
+	}
+	slices.SortFunc(dst[first:], func(a, b *ZoneTable) int {
+		return cmp.Compare(placement.Score(hash, b.seed, b.Weight), placement.Score(hash, a.seed, a.Weight))
+	})
+	return dst
+}
+
 // History holds the generations of a service, newest first.
 type History struct {
 	Generations []*Generation
--- a/internal/port/flow.go
+++ b/internal/port/flow.go
@@ -15,4 +15,9 @@
 	// Encode returns the datagram of a message to the given address. The result
 	// is valid until the next call.
 	Encode(to netip.AddrPort, m *flow.Message) ([]byte, error)
+	// EncodeRecords appends packed flow records to dst.
+	EncodeRecords(dst []byte, records []flow.Record) []byte
+	// DecodeRecords returns the records that EncodeRecords packed. The error is
+	// ErrTruncated or ErrMalformed.
+	DecodeRecords(packed []byte) ([]flow.Record, error)
 }
--- a/internal/traffic/flows/pool.go
+++ b/internal/traffic/flows/pool.go
@@ -8,8 +8,10 @@
 //		Shards: 4, QueueLength: 1024, MaxFlows: 1_000_000,
 //		Views: control, Clock: clock, Sender: socket, Recorder: metrics,
 //		NewCodec: func() port.FlowCodec { return geneve.NewCodec(geneve.Options{Self: socket.Address(), Keys: keys}) },
+//		Self: settings.FlowAddress, Incarnation: incarnation, Peers: peers,
 //		Observe: control.ObserveFlow,
 //	})
+//	peers.Handle(flows.MethodRecords, pool.HandleRecords)
 //	go pool.Run(ctx)                              // returns once all workers ended
 //	go socket.Serve(ctx, pool.NewReader().Receive) // one reader per Serve
 package flows
@@ -17,17 +19,28 @@
 import (
 	"context"
 	"errors"
+	"net/netip"
 	"sync"
+	"sync/atomic"
 
 	"github.com/savorytiller/savorytiller/internal/core/flow"
 	"github.com/savorytiller/savorytiller/internal/core/model"
 	"github.com/savorytiller/savorytiller/internal/port"
 )
 
-// part is the name of this part in counters.
-const part = "flow"
+// Names of parts in counters.
+const (
+	// part counts decisions about packets and messages.
+	part = "flow"
+	// partEnded counts flows that ended, by reason; all but idle are broken.
+	partEnded = "flow_ended"
+	// partSilent counts flows that were reported as silent.
+	partSilent = "flow_silent"
+	// partRecords counts batches of records sent to other instances.
+	partRecords = "flow_records"
+)
 
-// Options configure a Pool. All fields but Observe are required.
+// Options configure a Pool. All fields but Observe and Peers are required.
 type Options struct {
 	// Shards is the number of workers.
 	Shards int
@@ -36,6 +49,12 @@
 	// MaxFlows bounds the flow records of the instance.
 	MaxFlows int
 
+	// Self is the flow address under which other instances know this one.
+	Self netip.AddrPort
+	// Incarnation is the start time of the process. Sequence numbers of
+	// messages start from it, so that they grow over restarts.
+	Incarnation model.Incarnation
+
 	Views    port.ViewReader
 	Clock    port.Clock
 	Sender   port.PacketSender
@@ -45,6 +64,8 @@
 	// Observe passes an observation about a backend server on. It must not
 	// block; nil ignores observations.
 	Observe func(flow.Observation)
+	// Peers carries flow records to other instances; nil sends none.
+	Peers port.PeerCaller
 }
 
 // Pool is the set of flow workers of an instance.
@@ -52,20 +73,47 @@
 	options Options
 	workers []*worker
 	jobs    sync.Pool
+	batches chan posted
+	// sequence numbers the messages to other instances.
+	sequence atomic.Uint64
 }
 
-// job is a datagram with the message decoded from it.
+// job is what a worker handles: a datagram with the message decoded from it,
+// records of another instance, or a batch that could not be sent.
 type job struct {
 	message flow.Message
 	buffer  []byte
+	records []flow.Record
+	failed  *flow.Batch
+}
+
+// Stats are totals over all shards, a tick old at most.
+type Stats struct {
+	// Records counts own flows, hints and copies; Bytes is their memory.
+	Records, Bytes int64
+	// Pending counts the exceptions that wait to be sent. A leaving instance
+	// may exit once it is 0.
+	Pending int64
+}
+
+// Stats returns the totals. It may be called by any goroutine.
+func (p *Pool) Stats() Stats {
+	var s Stats
+	for _, w := range p.workers {
+		s.Records += w.records.Load()
+		s.Bytes += w.bytes.Load()
+		s.Pending += w.pending.Load()
+	}
+	return s
 }
 
 // New returns a pool whose workers are not started yet.
 func New(o Options) *Pool {
-	p := &Pool{options: o}
+	p := &Pool{options: o, batches: make(chan posted, batchQueue)}
+	p.sequence.Store(uint64(o.Incarnation))
 	p.jobs.New = func() any { return &job{} }
-	for range o.Shards {
-		p.workers = append(p.workers, newWorker(p))
+	for i := range o.Shards {
+		p.workers = append(p.workers, newWorker(p, i))
 	}
 	return p
 }
@@ -76,6 +124,9 @@
 	for _, w := range p.workers {
 		group.Go(func() { w.run(ctx) })
 	}
+	if p.options.Peers != nil {
+		group.Go(func() { p.sendBatches(ctx) })
+	}
 	group.Wait()
 }
 
@@ -94,6 +145,7 @@
 func (r *Reader) Receive(datagram []byte) {
 	p := r.pool
 	j := p.jobs.Get().(*job)
+	j.records, j.failed = nil, nil
 	j.buffer = append(j.buffer[:0], datagram...)
 	if err := r.codec.Decode(j.buffer, &j.message); err != nil {
 		p.options.Recorder.Count(part, reasonOf(err))
@@ -119,6 +171,8 @@
 		return model.ReasonTruncated
 	case errors.Is(err, port.ErrForged):
 		return model.ReasonForged
+	case errors.Is(err, port.ErrUnavailable):
+		return model.ReasonPeerUnreachable
 	default:
 		return model.ReasonMalformed
 	}
--- a/internal/traffic/flows/pool_test.go
+++ b/internal/traffic/flows/pool_test.go
@@ -66,6 +66,7 @@
 	counted := &counts{byReason: map[model.Reason]int{}}
 	pool := flows.New(flows.Options{
 		Shards: 2, QueueLength: 16, MaxFlows: 100,
+		Self: instance.Address(), Incarnation: 1,
 		Views: fixedView{v}, Clock: fixedClock(1), Sender: instance, Recorder: counted,
 		NewCodec: func() port.FlowCodec { return geneve.NewCodec(geneve.Options{Self: instance.Address()}) },
 	})
--- a/internal/traffic/flows/worker.go
+++ b/internal/traffic/flows/worker.go
@@ -2,8 +2,13 @@
 
 import (
 	"context"
+	"fmt"
+	"net/netip"
+	"sync/atomic"
+	"time"
 
 	"github.com/savorytiller/savorytiller/internal/core/flow"
+	"github.com/savorytiller/savorytiller/internal/core/model"
 	"github.com/savorytiller/savorytiller/internal/port"
 )
 
@@ -14,20 +19,27 @@
 	codec    port.FlowCodec
 	queue    chan *job
 	decision flow.Decision
-	sequence uint64
+	message  flow.Message
+	output   flow.Output
+
+	records, bytes, pending atomic.Int64
 }
 
-func newWorker(p *Pool) *worker {
+func newWorker(p *Pool, index int) *worker {
 	o := &p.options
+	settings := flow.DefaultSettings(o.Shards, o.MaxFlows)
+	settings.Index = index
 	return &worker{
-		pool:  p,
-		shard: flow.NewShard(flow.Settings{MaxFlows: max(1, o.MaxFlows/o.Shards)}),
-		codec: o.NewCodec(),
-		queue: make(chan *job, o.QueueLength),
+		pool: p, shard: flow.NewShard(settings), codec: o.NewCodec(), queue: make(chan *job, o.QueueLength),
 	}
 }
 
+// run handles jobs until the context ends. The timer runs only while the shard
+// holds records, so an idle worker blocks on its queue.
 func (w *worker) run(ctx context.Context) {
+	timer := time.NewTimer(flow.TickInterval)
+	defer timer.Stop()
+	armed := true
 	for {
 		select {
 		case <-ctx.Done():
@@ -35,39 +47,106 @@
 		case j := <-w.queue:
 			w.handle(j)
 			w.pool.jobs.Put(j)
+		case <-timer.C:
+			w.tick()
+			armed = false
+		}
+		if !armed && w.shard.Len() > 0 {
+			timer.Reset(flow.TickInterval)
+			armed = true
 		}
 	}
 }
 
 func (w *worker) handle(j *job) {
 	o := &w.pool.options
-	d := &w.decision
-	if !j.message.Kind.CarriesPacket() {
-		return
+	v, now := o.Views.View(), o.Clock.Now()
+	switch {
+	case j.records != nil:
+		w.shard.LearnRecords(v, now, j.records)
+	case j.failed != nil:
+		w.shard.Failed(j.failed)
+	case !j.message.Kind.CarriesPacket():
+		o.Recorder.Count(part, w.shard.Learn(v, now, &j.message))
+	default:
+		w.shard.Packet(v, now, &j.message, &w.decision)
+		w.execute(&j.message, now)
 	}
-	w.shard.Packet(o.Views.View(), o.Clock.Now(), &j.message, d)
+}
+
+// execute does what the decision about a message asks for.
+func (w *worker) execute(m *flow.Message, now model.Time) {
+	o, d := &w.pool.options, &w.decision
 	o.Recorder.Count(part, d.Reason)
 	switch d.Verb {
 	case flow.Deliver:
-		out := flow.Message{Kind: flow.KindPacket, Service: d.Service, Inner: j.message.Inner}
-		w.send(d, &out)
+		w.message = flow.Message{Kind: flow.KindPacket, Service: d.Service, Inner: m.Inner}
+		w.send(d.To)
 	case flow.Forward:
-		d.Out.Inner, d.Out.Fingerprint = j.message.Inner, j.message.Fingerprint
-		w.sequence++
-		d.Out.Sequence = w.sequence
-		w.send(d, &d.Out)
+		w.fill(&d.Out, m.Fingerprint)
+		w.message.Inner = m.Inner
+		w.send(d.To)
+	}
+	if d.Tell {
+		w.fill(&d.Note, m.Fingerprint)
+		w.send(d.TellTo)
+	}
+	if d.Ended != model.ReasonNone {
+		w.ended(flow.Ended{Fingerprint: m.Fingerprint, Service: d.Service, Reason: d.Ended}, now)
 	}
 	if d.Observed.Kind != flow.ObservedNone && o.Observe != nil {
 		o.Observe(d.Observed)
 	}
 }
 
-func (w *worker) send(d *flow.Decision, m *flow.Message) {
-	packet, err := w.codec.Encode(d.To, m)
+// fill prepares a message to another instance.
+func (w *worker) fill(e *flow.Envelope, fingerprint uint64) {
+	w.message = flow.Message{
+		Kind: e.Kind, Service: w.decision.Service, Fingerprint: fingerprint, Sender: w.pool.options.Self,
+		Sequence: w.pool.sequence.Add(1), Hops: e.Hops, Attempt: e.Attempt, Server: e.Server, Validity: e.Validity,
+	}
+}
+
+func (w *worker) send(to netip.AddrPort) {
+	packet, err := w.codec.Encode(to, &w.message)
 	if err == nil {
-		err = w.pool.options.Sender.SendPacket(d.To, packet)
+		err = w.pool.options.Sender.SendPacket(to, packet)
 	}
 	if err != nil {
 		w.pool.options.Recorder.Count(part, reasonOf(err))
 	}
 }
+
+// tick lets the shard do its periodic work and passes the results on.
+func (w *worker) tick() {
+	o := &w.pool.options
+	now := o.Clock.Now()
+	w.shard.Tick(o.Views.View(), now, &w.output)
+	for _, x := range w.output.Ended {
+		w.ended(x, now)
+	}
+	for _, x := range w.output.Silent {
+		o.Recorder.Count(partSilent, x.Reason)
+		w.explain("silent", x, now)
+	}
+	for _, b := range w.output.Batches {
+		w.pool.post(w, b)
+	}
+	w.records.Store(int64(w.shard.Len()))
+	w.bytes.Store(int64(w.shard.Bytes()))
+	w.pending.Store(int64(w.shard.Pending()))
+}
+
+func (w *worker) ended(x flow.Ended, now model.Time) {
+	w.pool.options.Recorder.Count(partEnded, x.Reason)
+	if x.Reason != model.ReasonIdle {
+		w.explain("flow ended", x, now)
+	}
+}
+
+func (w *worker) explain(detail string, x flow.Ended, now model.Time) {
+	w.pool.options.Recorder.Decision(port.Decision{
+		At: now, Part: part, Reason: x.Reason, Subject: fmt.Sprintf("flow %016x", x.Fingerprint),
+		Detail: fmt.Sprintf("%s: service %d, server number %08x", detail, x.Service, x.Server),
+	})
+}
