Add the request side: engine, worker, HTTP front end and backend client

Change: core/request holds the per-request state machine and the memory of keys; core/capacity divides slots between classes and keeps retry budgets and byte limits; traffic/requests runs the engine in one goroutine; adapter/httpfront serves callers on go-zero rest; adapter/backendhttp calls servers and knows whether a byte may have been sent.

--- /dev/null
+++ b/internal/adapter/httpfront/handler.go
@@ -0,0 +1,174 @@
+package httpfront
+
+import (
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/savorytiller/savorytiller/internal/core/model"
+	"github.com/savorytiller/savorytiller/internal/core/request"
+	"github.com/savorytiller/savorytiller/internal/port"
+)
+
+// Headers between callers and instances.
+const (
+	HeaderKey     = "Idempotency-Key"
+	HeaderAttempt = "Attempt"
+	HeaderTimeout = "Request-Timeout-Ms"
+	HeaderOutcome = "Outcome"
+	HeaderReason  = "Outcome-Reason"
+)
+
+type front struct{ handler port.RequestServer }
+
+func (f *front) serve(w http.ResponseWriter, r *http.Request) {
+	a := &answer{w: w, method: r.Method}
+	in, ok := incoming(r)
+	if !ok {
+		outcome := model.OutcomeNotRun
+		if in.Key != "" && in.Attempt != 1 {
+			outcome = model.OutcomeUnknown
+		}
+		a.Refuse(outcome, model.ReasonBadRequest)
+		return
+	}
+	// Bounds a caller that stops sending its body. The service's own limit is
+	// shorter and applies as well.
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyTimeout(in)))
+	f.handler.Serve(r.Context(), &port.CallerRequest{
+		Incoming: in,
+		Target:   r.URL.RequestURI(),
+		Header:   r.Header,
+		Body:     r.Body,
+	}, a)
+	if a.failed {
+		// The answer is incomplete: only a broken connection tells the caller.
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// maxBodyTime bounds the time for receiving a request body if the caller gives
+// no timeout.
+const maxBodyTime = 2 * time.Minute
+
+func bodyTimeout(in request.Incoming) time.Duration {
+	if in.HasTimeout && in.Timeout > 0 {
+		return min(in.Timeout+time.Second, maxBodyTime)
+	}
+	return maxBodyTime
+}
+
+// incoming decodes the headers of a request. It reports false if one of them
+// cannot be decoded.
+func incoming(r *http.Request) (in request.Incoming, ok bool) {
+	in = request.Incoming{
+		Host: hostName(r.Host), Method: r.Method, Path: r.URL.Path,
+		Key: r.Header.Get(HeaderKey), Length: r.ContentLength,
+	}
+	if v := r.Header.Get(HeaderAttempt); v != "" {
+		n, err := strconv.Atoi(v)
+		if err != nil || n < 1 {
+			n = -1
+		}
+		in.Attempt = n
+	}
+	if v := r.Header.Get(HeaderTimeout); v != "" {
+		ms, err := strconv.ParseInt(v, 10, 64)
+		if err != nil {
+			return in, false
+		}
+		const longest = int64(time.Hour / time.Millisecond)
+		in.HasTimeout, in.Timeout = true, time.Duration(min(max(ms, -1), longest))*time.Millisecond
+	}
+	return in, true
+}
+
+// hostName returns the Host header without its port.
+func hostName(host string) string {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		return name
+	}
+	return host
+}
+
+// answer implements port.CallerAnswer.
+type answer struct {
+	w      http.ResponseWriter
+	method string
+	failed bool
+}
+
+// Refuse implements port.CallerAnswer.
+func (a *answer) Refuse(o model.Outcome, r model.Reason) {
+	h := a.w.Header()
+	h.Set(HeaderOutcome, o.String())
+	h.Set(HeaderReason, r.String())
+	h.Set("Content-Type", "application/json")
+	body, _ := json.Marshal(map[string]string{"outcome": o.String(), "reason": r.String()})
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	a.w.WriteHeader(status(o, r))
+	if a.method != http.MethodHead {
+		_, _ = a.w.Write(body)
+	}
+}
+
+// Forward implements port.CallerAnswer.
+func (a *answer) Forward(status int, header map[string][]string, length int64, body io.Reader) error {
+	h := a.w.Header()
+	for name, values := range header {
+		h[name] = values
+	}
+	h.Set(HeaderOutcome, model.OutcomeCompleted.String())
+	h.Set(HeaderReason, model.ReasonNone.String())
+	if length >= 0 && a.method != http.MethodHead {
+		h.Set("Content-Length", strconv.FormatInt(length, 10))
+	}
+	a.w.WriteHeader(status)
+	n, err := io.Copy(a.w, body)
+	if err == nil && length >= 0 && n != length {
+		err = port.ErrTruncated
+	}
+	a.failed = err != nil
+	return err
+}
+
+// status returns the HTTP status of a refusal.
+func status(o model.Outcome, r model.Reason) int {
+	switch r {
+	case model.ReasonUnknownService:
+		return http.StatusNotFound
+	case model.ReasonMissingKey, model.ReasonBadAttempt, model.ReasonBadRequest, model.ReasonDeadlinePassed:
+		if o == model.OutcomeUnknown && r == model.ReasonDeadlinePassed {
+			return http.StatusGatewayTimeout
+		}
+		return http.StatusBadRequest
+	case model.ReasonKeyReused:
+		return http.StatusUnprocessableEntity
+	case model.ReasonRepeatedAttempt, model.ReasonEarlierAttemptUnknown, model.ReasonInProgress, model.ReasonAlreadyCompleted:
+		return http.StatusConflict
+	case model.ReasonTooLarge:
+		return http.StatusRequestEntityTooLarge
+	case model.ReasonServerSilent:
+		return http.StatusGatewayTimeout
+	case model.ReasonAnswerTruncated, model.ReasonAnswerMismatch, model.ReasonServerFailed:
+		return http.StatusBadGateway
+	}
+	return http.StatusServiceUnavailable
+}
+
+// limitedConn gives its place back when it is closed.
+type limitedConn struct {
+	net.Conn
+	once sync.Once
+	free func()
+}
+
+// Close implements net.Conn.
+func (c *limitedConn) Close() error {
+	c.once.Do(c.free)
+	return c.Conn.Close()
+}
--- /dev/null
+++ b/internal/core/capacity/pool.go
@@ -0,0 +1,278 @@
+// Package capacity divides the capacity of backend servers: the slots that this
+// instance holds between classes of requests, the retry budget of each service
+// and the bytes in flight of each tenant.
+package capacity
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/savorytiller/savorytiller/internal/core/model"
+	"github.com/savorytiller/savorytiller/internal/core/view"
+)
+
+// DemandWindow is the time for which the demand of a class is remembered. A
+// class keeps free slots reserved for its recent demand only, so that slots
+// guaranteed to a quiet class do not lie idle.
+const DemandWindow = time.Second
+
+// Holding is a slot in use.
+type Holding struct {
+	Service model.ServiceID
+	Class   string
+	Server  model.ServerID
+	Slot    uint16
+}
+
+// Pool counts the slots in use. A slot that moved to another holder while in
+// use stays counted until it is freed.
+type Pool struct {
+	rng      *rand.Rand
+	view     *view.View
+	services map[model.ServiceID]*servicePool
+	servers  map[model.ServerID]*serverUse
+}
+
+type serverUse struct{ slots []uint16 }
+
+type servicePool struct {
+	view    *view.View
+	usable  []*view.Server
+	total   int // slots that may be used under the present view
+	classes map[string]*classUse
+	names   []string // sorted, so that results do not depend on map order
+}
+
+type classUse struct {
+	share   int
+	inUse   int
+	waiting int
+	// now and before are the highest demand in the present and the last window.
+	now, before int
+	window      int64
+}
+
+// NewPool returns an empty pool. The source breaks ties between servers.
+func NewPool(rng *rand.Rand) *Pool {
+	return &Pool{rng: rng, services: map[model.ServiceID]*servicePool{}, servers: map[model.ServerID]*serverUse{}}
+}
+
+// SetView makes the pool use a new view.
+func (p *Pool) SetView(v *view.View) { p.view = v }
+
+// Total returns the number of slots of a service that this instance may use.
+func (p *Pool) Total(service model.ServiceID) int { return p.service(service).total }
+
+// InUse returns the number of slots of a server in use through this instance.
+func (p *Pool) InUse(server model.ServerID) int {
+	if u := p.servers[server]; u != nil {
+		return len(u.slots)
+	}
+	return 0
+}
+
+// Wait adds delta to the number of requests of a class that wait for a slot.
+func (p *Pool) Wait(now model.Time, service model.ServiceID, class string, delta int) {
+	c := p.service(service).class(class)
+	c.waiting += delta
+	c.demand(now)
+}
+
+// Take takes a free slot of a service for a class. Servers in exclude are not
+// chosen.
+func (p *Pool) Take(now model.Time, service model.ServiceID, class string, exclude []model.ServerID) (Holding, bool) {
+	s := p.service(service)
+	c := s.class(class)
+	if !s.allows(now, p, c) {
+		return Holding{}, false
+	}
+	best, slot := p.choose(s, exclude)
+	if best == nil {
+		return Holding{}, false
+	}
+	use := p.servers[best.ID]
+	if use == nil {
+		use = &serverUse{}
+		p.servers[best.ID] = use
+	}
+	use.slots = append(use.slots, slot)
+	c.inUse++
+	c.demand(now)
+	return Holding{Service: service, Class: class, Server: best.ID, Slot: slot}, true
+}
+
+// Free returns a slot.
+func (p *Pool) Free(h Holding) {
+	use := p.servers[h.Server]
+	if use == nil {
+		return
+	}
+	i := slices.Index(use.slots, h.Slot)
+	if i < 0 {
+		return
+	}
+	use.slots = slices.Delete(use.slots, i, i+1)
+	if len(use.slots) == 0 {
+		delete(p.servers, h.Server)
+	}
+	p.service(h.Service).class(h.Class).inUse--
+}
+
+// NextClass returns the waiting class that is served next: the one with the
+// fewest slots in use for its share.
+func (p *Pool) NextClass(service model.ServiceID, skip func(class string) bool) (string, bool) {
+	s := p.service(service)
+	best, bestScore := "", 0.0
+	for _, name := range s.names {
+		c := s.classes[name]
+		if c.waiting <= 0 || skip(name) {
+			continue
+		}
+		score := float64(c.inUse+1) / float64(max(c.share, 1))
+		if best == "" || score < bestScore {
+			best, bestScore = name, score
+		}
+	}
+	return best, best != ""
+}
+
+func (p *Pool) choose(s *servicePool, exclude []model.ServerID) (*view.Server, uint16) {
+	var best *view.Server
+	bestLoad, ties := 0.0, 0
+	for _, server := range s.usable {
+		used := p.InUse(server.ID)
+		if used >= server.SlotLimit || slices.Contains(exclude, server.ID) || !p.hasFree(server) {
+			continue
+		}
+		load := float64(used) / float64(server.SlotLimit)
+		switch {
+		case best == nil || load < bestLoad:
+			best, bestLoad, ties = server, load, 1
+		case load == bestLoad:
+			if ties++; p.rng.IntN(ties) == 0 {
+				best = server
+			}
+		}
+	}
+	if best == nil {
+		return nil, 0
+	}
+	for _, slot := range best.Slots {
+		if !p.slotUsed(best.ID, slot) {
+			return best, slot
+		}
+	}
+	return nil, 0
+}
+
+func (p *Pool) hasFree(server *view.Server) bool {
+	use := p.servers[server.ID]
+	if use == nil || len(use.slots) < len(server.Slots) {
+		return len(server.Slots) > 0
+	}
+	for _, slot := range server.Slots {
+		if !slices.Contains(use.slots, slot) {
+			return true
+		}
+	}
+	return false
+}
+
+func (p *Pool) slotUsed(server model.ServerID, slot uint16) bool {
+	use := p.servers[server]
+	return use != nil && slices.Contains(use.slots, slot)
+}
+
+// service returns the state of a service, rebuilt for the present view.
+func (p *Pool) service(id model.ServiceID) *servicePool {
+	s := p.services[id]
+	if s == nil {
+		s = &servicePool{classes: map[string]*classUse{}}
+		p.services[id] = s
+	}
+	if s.view == p.view || p.view == nil || p.view.Config == nil {
+		return s
+	}
+	s.view, s.usable, s.total = p.view, s.usable[:0], 0
+	svc := p.view.Config.Service(id)
+	if svc == nil {
+		return s
+	}
+	for i := range svc.Servers {
+		server := p.view.Servers[svc.Servers[i].ID]
+		if server != nil && server.NewWork && server.SlotLimit > 0 && len(server.Slots) > 0 {
+			s.usable = append(s.usable, server)
+			s.total += min(server.SlotLimit, len(server.Slots))
+		}
+	}
+	for _, c := range s.classes {
+		c.share = 0
+	}
+	for i := range svc.Kinds {
+		c := s.class(svc.Kinds[i].Class)
+		c.share = max(c.share, int(svc.Kinds[i].Share))
+	}
+	return s
+}
+
+func (s *servicePool) class(name string) *classUse {
+	c := s.classes[name]
+	if c == nil {
+		c = &classUse{}
+		s.classes[name] = c
+		i, _ := slices.BinarySearch(s.names, name)
+		s.names = slices.Insert(s.names, i, name)
+	}
+	return c
+}
+
+// allows reports whether a class may take a slot: always up to its guarantee,
+// and beyond it as long as the recent demand of the other classes, up to their
+// guarantees, finds free slots.
+func (s *servicePool) allows(now model.Time, p *Pool, c *classUse) bool {
+	free := s.total
+	for _, server := range s.usable {
+		free -= min(p.InUse(server.ID), min(server.SlotLimit, len(server.Slots)))
+	}
+	if free <= 0 {
+		return false
+	}
+	if c.inUse < s.guarantee(c) {
+		return true
+	}
+	for _, name := range s.names {
+		other := s.classes[name]
+		if other == c {
+			continue
+		}
+		wanted := min(s.guarantee(other), other.recent(now))
+		free -= max(0, wanted-other.inUse)
+	}
+	return free > 0
+}
+
+func (s *servicePool) guarantee(c *classUse) int { return s.total * c.share / 100 }
+
+func (c *classUse) demand(now model.Time) {
+	c.roll(now)
+	c.now = max(c.now, c.inUse+max(c.waiting, 0))
+}
+
+func (c *classUse) recent(now model.Time) int {
+	c.roll(now)
+	return max(c.now, c.before)
+}
+
+func (c *classUse) roll(now model.Time) {
+	window := int64(now) / int64(DemandWindow)
+	switch {
+	case window == c.window:
+		return
+	case window == c.window+1:
+		c.before = c.now
+	default:
+		c.before = 0
+	}
+	c.window, c.now = window, c.inUse+max(c.waiting, 0)
+}
--- /dev/null
+++ b/internal/core/request/timers.go
@@ -0,0 +1,70 @@
+package request
+
+import (
+	"container/heap"
+
+	"github.com/savorytiller/savorytiller/internal/core/model"
+)
+
+type timerKind uint8
+
+const (
+	timerQueue timerKind = iota
+	timerDeadline
+	timerLease
+	timerParked
+)
+
+type timer struct {
+	at     model.Time
+	kind   timerKind
+	id     ID
+	serial uint32
+	lease  LeaseID
+	key    dedupKey
+}
+
+// timers is a heap ordered by time. Entries are not removed when their subject
+// ends; they find nothing to do then.
+type timers []timer
+
+func (t timers) Len() int           { return len(t) }
+func (t timers) Less(i, j int) bool { return t[i].at < t[j].at }
+func (t timers) Swap(i, j int)      { t[i], t[j] = t[j], t[i] }
+
+// Push implements heap.Interface.
+func (t *timers) Push(x any) { *t = append(*t, x.(timer)) }
+
+// Pop implements heap.Interface.
+func (t *timers) Pop() any {
+	old := *t
+	last := old[len(old)-1]
+	*t = old[:len(old)-1]
+	return last
+}
+
+// NextTimer returns the time at which the engine wants a Tick.
+func (e *Engine) NextTimer() (model.Time, bool) {
+	if len(e.timers) == 0 {
+		return 0, false
+	}
+	return e.timers[0].at, true
+}
+
+func (e *Engine) startTimer(t timer) { heap.Push(&e.timers, t) }
+
+func (e *Engine) runTimers() {
+	for len(e.timers) > 0 && !e.timers[0].at.After(e.now) {
+		t := heap.Pop(&e.timers).(timer)
+		switch t.kind {
+		case timerQueue:
+			e.queueTimeout(t.id, t.serial)
+		case timerDeadline:
+			e.deadlinePassed(t.id)
+		case timerLease:
+			e.endLease(t.lease)
+		case timerParked:
+			e.answerParked(e.dedup.expire(e.now, t.key))
+		}
+	}
+}
