--- a/internal/core/request/dispatch.go
+++ b/internal/core/request/dispatch.go
@@ -27,11 +27,11 @@
 	case p.kind.Idempotent && !ev.Forwarded && ev.Result != Cancelled && ev.Result != BodyFailed:
 		p.fresh = p.fresh || ev.Result == Silent || ev.Result == Broken
 		if !e.retry(p, ev, server) {
-			e.finish(p, model.OutcomeUnknown, reasonOf(ev.Result), nil)
+			e.finish(p, model.OutcomeUnknown, reasonOf(ev), nil)
 		}
 	default:
 		e.report(p, Unknown, nil)
-		e.finish(p, model.OutcomeUnknown, reasonOf(ev.Result), nil)
+		e.finish(p, model.OutcomeUnknown, reasonOf(ev), nil)
 	}
 }
 
@@ -98,8 +98,8 @@
 	}
 }
 
-func reasonOf(r Result) model.Reason {
-	switch r {
+func reasonOf(ev Dispatched) model.Reason {
+	switch ev.Result {
 	case Silent:
 		return model.ReasonServerSilent
 	case Truncated:
@@ -107,6 +107,9 @@
 	case Mismatched:
 		return model.ReasonAnswerMismatch
 	case Cancelled:
+		if ev.DeadlinePassed {
+			return model.ReasonDeadlinePassed
+		}
 		return model.ReasonCallerCancelled
 	case BodyFailed:
 		return model.ReasonBadRequest
@@ -124,8 +127,6 @@
 		e.pool.Free(s.holding)
 		e.serveQueue(s.holding.Service)
 	case s.lender != nil:
-		e.emit(CallRelease{To: *s.lender, Msg: Release{
-			Lease: s.lease, Server: s.server.ID, Observed: observed, Result: h, Latency: latency,
-		}})
+		e.emit(CallRelease{To: *s.lender, Msg: Release{Lease: s.lease, Observed: observed, Result: h, Latency: latency}})
 	}
 }
--- a/internal/core/request/engine.go
+++ b/internal/core/request/engine.go
@@ -106,7 +106,7 @@
 	budgets map[model.ServiceID]*capacity.Budget
 	queues  map[model.ServiceID]*queue
 	reqs    map[ID]*pending
-	leases  map[LeaseID]*lease
+	leases  map[leaseKey]*lease
 	lastID  LeaseID
 	// asks are the questions for slots that are under way, by request.
 	asks   map[ID]model.ServiceID
@@ -119,14 +119,15 @@
 }
 
 // lease is a slot lent to another instance.
-type lease struct {
-	to      model.InstanceID
-	holding capacity.Holding
-	until   model.Time
+type lease struct{ holding capacity.Holding }
+
+type leaseKey struct {
+	to model.InstanceID
+	id LeaseID
 }
 
 // New returns an engine. The source decides ties; the first lease identifier
-// is random so that a release from before a restart fits no new lease.
+// is random, so that a message from before a restart fits no later lease.
 func New(cfg Config, rng *rand.Rand) *Engine {
 	cfg = cfg.withDefaults()
 	return &Engine{
@@ -138,7 +139,7 @@
 		budgets: map[model.ServiceID]*capacity.Budget{},
 		queues:  map[model.ServiceID]*queue{},
 		reqs:    map[ID]*pending{},
-		leases:  map[LeaseID]*lease{},
+		leases:  map[leaseKey]*lease{},
 		asks:    map[ID]model.ServiceID{},
 		lastID:  LeaseID(rng.Uint64() >> 16),
 	}
--- a/internal/core/request/slots.go
+++ b/internal/core/request/slots.go
@@ -140,7 +140,8 @@
 	p.rounds++
 	p.askedIDs = append(p.askedIDs, to.ID)
 	q.acquires++
-	msg := Acquire{Service: p.service.ID, Class: p.kind.Class, Deadline: p.deadline.Sub(e.now)}
+	e.lastID++
+	msg := Acquire{Lease: e.lastID, Service: p.service.ID, Class: p.kind.Class, Deadline: p.deadline.Sub(e.now)}
 	e.emit(CallAcquire{ID: p.id, To: *to, Msg: msg, Timeout: min(e.cfg.AcquireTimeout, msg.Deadline)})
 }
 
@@ -221,6 +222,10 @@
 			q.refused[ev.From] = e.now.Add(refusalMemory)
 		}
 	}
+	if ev.Failed && lender != nil {
+		// The grant may be on its way.
+		e.emit(CallRelease{To: *lender, Msg: Release{Lease: ev.Lease}})
+	}
 	if ev.Failed || ev.Grant.Server == "" {
 		if p != nil && p.queued {
 			e.acquire(p)
@@ -231,11 +236,11 @@
 		return // its lease ends by itself
 	}
 	if p == nil || !p.queued || !usable || slices.Contains(p.failed, server.ID) {
-		e.emit(CallRelease{To: *lender, Msg: Release{Lease: ev.Grant.Lease, Server: ev.Grant.Server}})
+		e.emit(CallRelease{To: *lender, Msg: Release{Lease: ev.Lease}})
 		return
 	}
 	e.leaveQueue(p)
-	p.slot = slotInUse{lender: lender, lease: ev.Grant.Lease, server: server}
+	p.slot = slotInUse{lender: lender, lease: ev.Lease, server: server}
 	e.dispatch(p)
 }
 
@@ -263,6 +268,11 @@
 
 // peerAcquire lends a free slot if no request here waits for one.
 func (e *Engine) peerAcquire(ev PeerAcquire) {
+	key := leaseKey{ev.From, ev.Msg.Lease}
+	if l := e.leases[key]; l != nil { // the question arrived twice
+		e.emit(ReplyAcquire{Call: ev.Call, Msg: Grant{Server: l.holding.Server, Slot: l.holding.Slot}})
+		return
+	}
 	q := e.queues[ev.Msg.Service]
 	if !e.view.Ready() || !e.view.Fresh(e.now) || ev.Msg.Deadline <= 0 || q != nil && q.size > 0 {
 		e.emit(ReplyAcquire{Call: ev.Call})
@@ -273,25 +283,24 @@
 		e.emit(ReplyAcquire{Call: ev.Call})
 		return
 	}
-	e.lastID++
-	until := e.now.Add(ev.Msg.Deadline + LeaseMargin)
-	e.leases[e.lastID] = &lease{to: ev.From, holding: h, until: until}
-	e.startTimer(timer{at: until, kind: timerLease, lease: e.lastID})
-	e.emit(ReplyAcquire{Call: ev.Call, Msg: Grant{Lease: e.lastID, Server: h.Server, Slot: h.Slot}})
+	e.leases[key] = &lease{holding: h}
+	e.startTimer(timer{at: e.now.Add(ev.Msg.Deadline + LeaseMargin), kind: timerLease, lease: key})
+	e.emit(ReplyAcquire{Call: ev.Call, Msg: Grant{Server: h.Server, Slot: h.Slot}})
 }
 
 func (e *Engine) peerRelease(ev PeerRelease) {
-	l := e.leases[ev.Msg.Lease]
-	if l == nil || l.to != ev.From || l.holding.Server != ev.Msg.Server {
+	key := leaseKey{ev.From, ev.Msg.Lease}
+	l := e.leases[key]
+	if l == nil {
 		return
 	}
 	if ev.Msg.Observed {
-		e.emit(Observe{Observation{Server: ev.Msg.Server, Result: ev.Msg.Result, Latency: ev.Msg.Latency}})
+		e.emit(Observe{Observation{Server: l.holding.Server, Result: ev.Msg.Result, Latency: ev.Msg.Latency}})
 	}
-	e.endLease(ev.Msg.Lease)
+	e.endLease(key)
 }
 
-func (e *Engine) endLease(id LeaseID) {
+func (e *Engine) endLease(id leaseKey) {
 	l := e.leases[id]
 	if l == nil {
 		return
--- a/internal/core/request/timers.go
+++ b/internal/core/request/timers.go
@@ -20,7 +20,7 @@
 	kind   timerKind
 	id     ID
 	serial uint32
-	lease  LeaseID
+	lease  leaseKey
 	key    dedupKey
 }
 
--- a/internal/core/request/types.go
+++ b/internal/core/request/types.go
@@ -17,7 +17,8 @@
 // CallID names a call of another instance that waits for this instance's reply.
 type CallID uint64
 
-// LeaseID names a slot that this instance lent to another one.
+// LeaseID names a slot that one instance lends to another. The asking instance
+// chooses it, so that it can return a slot whose grant it has not seen.
 type LeaseID uint64
 
 // Incoming is what the front end knows of a request once its headers are read.
@@ -89,20 +90,19 @@
 	}
 	// Acquire asks another instance for a free slot of a service.
 	Acquire struct {
+		Lease    LeaseID
 		Service  model.ServiceID
 		Class    string
 		Deadline time.Duration
 	}
 	// Grant is the reply to Acquire. Server is empty if there is no free slot.
 	Grant struct {
-		Lease  LeaseID
 		Server model.ServerID
 		Slot   uint16
 	}
 	// Release returns a lent slot and says how the server behaved.
 	Release struct {
-		Lease  LeaseID
-		Server model.ServerID
+		Lease LeaseID
 		// Observed is false if the slot was not used.
 		Observed bool
 		Result   Health
@@ -190,6 +190,7 @@
 	GrantReplied struct {
 		ID     ID
 		From   model.InstanceID
+		Lease  LeaseID
 		Grant  Grant
 		Failed bool
 	}
--- a/internal/traffic/requests/peers.go
+++ b/internal/traffic/requests/peers.go
@@ -35,13 +35,13 @@
 }
 
 func (w *Worker) callAcquire(a request.CallAcquire) {
-	failed := request.GrantReplied{ID: a.ID, From: a.To.ID, Failed: true}
+	failed := request.GrantReplied{ID: a.ID, From: a.To.ID, Lease: a.Msg.Lease, Failed: true}
 	w.call(a.Timeout, failed, func(ctx context.Context) request.Event {
 		var reply request.Grant
 		if err := w.o.Peers.Call(ctx, a.To, port.MethodAcquire, a.Msg, &reply); err != nil {
 			return failed
 		}
-		return request.GrantReplied{ID: a.ID, From: a.To.ID, Grant: reply}
+		return request.GrantReplied{ID: a.ID, From: a.To.ID, Lease: a.Msg.Lease, Grant: reply}
 	})
 }
 
