Send refusals before the rest of the body is read; cheaper slot choice; engine tests

Change: the front end sends the refusal at once and reads on for at most 1 s. The pool keeps the slots in use next to each server of the view. Conclusion: refusals reach callers that have not finished their body.

--- a/internal/adapter/httpfront/handler.go
+++ b/internal/adapter/httpfront/handler.go
@@ -32,6 +32,15 @@
 
 func (f *front) serve(w http.ResponseWriter, r *http.Request) {
 	a := &answer{w: w, method: r.Method}
+	control := http.NewResponseController(w)
+	// Without it, net/http reads up to 256 kB of the body before it sends an
+	// answer, while the body may still be streamed to a server.
+	_ = control.EnableFullDuplex()
+	defer func() {
+		if a.refused && r.ContentLength != 0 {
+			discard(control, r.Body)
+		}
+	}()
 	in, ok := incoming(r)
 	if reason := f.check(r, ok); reason != model.ReasonNone {
 		// An earlier attempt with the key may have run.
@@ -47,7 +56,7 @@
 	}
 	// Bounds a caller that stops sending its body. The service's own limit is
 	// shorter and applies as well.
-	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyTimeout(in)))
+	_ = control.SetReadDeadline(time.Now().Add(bodyTimeout(in)))
 	f.handler.Serve(r.Context(), &port.CallerRequest{
 		Incoming: in,
 		Target:   r.URL.RequestURI(),
@@ -60,6 +69,21 @@
 	}
 }
 
+// Limits of what is read of a refused body.
+const (
+	discardTime  = time.Second
+	discardBytes = 8 << 20
+)
+
+// discard sends the refusal and then reads the rest of the body. A connection
+// that is closed with unread bytes is reset, and a caller that is still sending
+// would lose the refusal.
+func discard(control *http.ResponseController, body io.Reader) {
+	_ = control.Flush()
+	_ = control.SetReadDeadline(time.Now().Add(discardTime))
+	_, _ = io.CopyN(io.Discard, body, discardBytes)
+}
+
 // check returns why the head of a request is refused, or ReasonNone.
 func (f *front) check(r *http.Request, decoded bool) model.Reason {
 	size := len(r.RequestURI)
@@ -125,11 +149,13 @@
 type answer struct {
 	w      http.ResponseWriter
 	method string
-	failed bool
+	// refused and failed say how the answer ended.
+	refused, failed bool
 }
 
 // Refuse implements port.CallerAnswer.
 func (a *answer) Refuse(o model.Outcome, r model.Reason) {
+	a.refused = true
 	h := a.w.Header()
 	h.Set(HeaderOutcome, o.String())
 	h.Set(HeaderReason, r.String())
--- a/internal/core/capacity/pool.go
+++ b/internal/core/capacity/pool.go
@@ -42,9 +42,15 @@
 
 type serverUse struct{ slots []uint16 }
 
+// usable is a server of the present view with its slots in use.
+type usable struct {
+	*view.Server
+	use *serverUse
+}
+
 type servicePool struct {
 	view   *view.View
-	usable []*view.Server
+	usable []usable
 	total  int // slots that may be used under the present view
 	// hold is the mean time for which a slot is held; 0 while it is not known.
 	hold    float64
@@ -68,7 +74,23 @@
 }
 
 // SetView makes the pool use a new view.
-func (p *Pool) SetView(v *view.View) { p.view = v }
+func (p *Pool) SetView(v *view.View) {
+	p.view = v
+	for id, use := range p.servers {
+		if len(use.slots) == 0 && (v == nil || v.Servers[id] == nil) {
+			delete(p.servers, id)
+		}
+	}
+}
+
+func (p *Pool) use(id model.ServerID) *serverUse {
+	u := p.servers[id]
+	if u == nil {
+		u = &serverUse{}
+		p.servers[id] = u
+	}
+	return u
+}
 
 // Total returns the number of slots of a service that this instance may use.
 func (p *Pool) Total(service model.ServiceID) int { return p.service(service).total }
@@ -93,19 +115,15 @@
 func (p *Pool) Take(now model.Time, service model.ServiceID, class string, exclude []model.ServerID) (Holding, bool) {
 	s := p.service(service)
 	c := s.class(class)
-	if !s.allows(now, p, c) {
+	if !s.allows(now, p.wait, c) {
 		return Holding{}, false
 	}
-	best, slot := p.choose(s, exclude)
+	best := p.choose(s, exclude)
 	if best == nil {
 		return Holding{}, false
 	}
-	use := p.servers[best.ID]
-	if use == nil {
-		use = &serverUse{}
-		p.servers[best.ID] = use
-	}
-	use.slots = append(use.slots, slot)
+	slot, _ := best.free()
+	best.use.slots = append(best.use.slots, slot)
 	c.inUse++
 	c.demand(now)
 	return Holding{Service: service, Class: class, Server: best.ID, Slot: slot, Since: now}, true
@@ -122,9 +140,6 @@
 		return
 	}
 	use.slots = slices.Delete(use.slots, i, i+1)
-	if len(use.slots) == 0 {
-		delete(p.servers, h.Server)
-	}
 	s := p.service(h.Service)
 	s.class(h.Class).inUse--
 	if held := float64(now.Sub(h.Since)); s.hold == 0 {
@@ -152,51 +167,40 @@
 	return best, best != ""
 }
 
-func (p *Pool) choose(s *servicePool, exclude []model.ServerID) (*view.Server, uint16) {
-	var best *view.Server
+// choose returns the server with the smallest part of its slots in use.
+func (p *Pool) choose(s *servicePool, exclude []model.ServerID) *usable {
+	var best *usable
 	bestLoad, ties := 0.0, 0
-	for _, server := range s.usable {
-		used := p.InUse(server.ID)
-		if used >= server.SlotLimit || slices.Contains(exclude, server.ID) || !p.hasFree(server) {
+	for i := range s.usable {
+		u := &s.usable[i]
+		used := len(u.use.slots)
+		if used >= u.SlotLimit || slices.Contains(exclude, u.ID) {
 			continue
 		}
-		load := float64(used) / float64(server.SlotLimit)
-		switch {
-		case best == nil || load < bestLoad:
-			best, bestLoad, ties = server, load, 1
-		case load == bestLoad:
-			if ties++; p.rng.IntN(ties) == 0 {
-				best = server
-			}
+		load := float64(used) / float64(u.SlotLimit)
+		if best != nil && load > bestLoad {
+			continue
 		}
-	}
-	if best == nil {
-		return nil, 0
-	}
-	for _, slot := range best.Slots {
-		if !p.slotUsed(best.ID, slot) {
-			return best, slot
+		if _, ok := u.free(); !ok {
+			continue
+		}
+		if best == nil || load < bestLoad {
+			best, bestLoad, ties = u, load, 1
+		} else if ties++; p.rng.IntN(ties) == 0 {
+			best = u
 		}
 	}
-	return nil, 0
+	return best
 }
 
-func (p *Pool) hasFree(server *view.Server) bool {
-	use := p.servers[server.ID]
-	if use == nil || len(use.slots) < len(server.Slots) {
-		return len(server.Slots) > 0
-	}
-	for _, slot := range server.Slots {
-		if !slices.Contains(use.slots, slot) {
-			return true
+// free returns a slot that this instance holds and that is not in use.
+func (u *usable) free() (uint16, bool) {
+	for _, slot := range u.Slots {
+		if !slices.Contains(u.use.slots, slot) {
+			return slot, true
 		}
 	}
-	return false
-}
-
-func (p *Pool) slotUsed(server model.ServerID, slot uint16) bool {
-	use := p.servers[server]
-	return use != nil && slices.Contains(use.slots, slot)
+	return 0, false
 }
 
 // service returns the state of a service, rebuilt for the present view.
@@ -217,7 +221,7 @@
 	for i := range svc.Servers {
 		server := p.view.Servers[svc.Servers[i].ID]
 		if server != nil && server.NewWork && server.SlotLimit > 0 && len(server.Slots) > 0 {
-			s.usable = append(s.usable, server)
+			s.usable = append(s.usable, usable{server, p.use(server.ID)})
 			s.total += min(server.SlotLimit, len(server.Slots))
 		}
 	}
@@ -249,15 +253,16 @@
 // for long, slots for its recent demand stay free. Without the distinction, a
 // class with little demand beside an overloaded one left 22 % of the capacity
 // idle.
-func (s *servicePool) allows(now model.Time, p *Pool, c *classUse) bool {
+func (s *servicePool) allows(now model.Time, wait time.Duration, c *classUse) bool {
 	free := s.total
-	for _, server := range s.usable {
-		free -= min(p.InUse(server.ID), min(server.SlotLimit, len(server.Slots)))
+	for i := range s.usable {
+		u := &s.usable[i]
+		free -= min(len(u.use.slots), u.SlotLimit, len(u.Slots))
 	}
 	if free <= 0 {
 		return false
 	}
-	if c.inUse < s.guarantee(c) || s.freedSoon(p, s.total-free) {
+	if c.inUse < s.guarantee(c) || s.freedSoon(wait, s.total-free) {
 		return true
 	}
 	for _, name := range s.names {
@@ -273,8 +278,8 @@
 
 // freedSoon reports whether a slot becomes free well within the wait of a
 // request, with the given number of slots in use.
-func (s *servicePool) freedSoon(p *Pool, inUse int) bool {
-	return s.hold > 0 && s.hold/float64(max(inUse, 1)) <= float64(p.wait)/4
+func (s *servicePool) freedSoon(wait time.Duration, inUse int) bool {
+	return s.hold > 0 && s.hold/float64(max(inUse, 1)) <= float64(wait)/4
 }
 
 func (s *servicePool) guarantee(c *classUse) int { return s.total * c.share / 100 }
--- a/internal/core/request/load_test.go
+++ b/internal/core/request/load_test.go
@@ -25,9 +25,9 @@
 }
 
 type offered struct {
-	name, method, key string
-	rate              float64
-	from, until       time.Duration
+	name, method string
+	rate         float64
+	from, until  time.Duration
 }
 
 type loadStats struct {
--- a/internal/core/request/property_test.go
+++ b/internal/core/request/property_test.go
@@ -116,10 +116,6 @@
 }
 
 func (c *callers) check(t require.TestingT) {
-	type attempt struct {
-		key string
-		n   int
-	}
 	runs := map[int]int{}
 	first := map[string]int{}
 	for _, srv := range c.s.servers {
--- a/internal/core/request/sim_test.go
+++ b/internal/core/request/sim_test.go
@@ -75,6 +75,7 @@
 	offset    time.Duration
 	run       int // grows with each restart
 	up        bool
+	leaving   bool
 	pausedTil time.Duration
 	requests  map[request.ID]*simRequest
 	calls     map[request.CallID]func(any)
@@ -90,7 +91,6 @@
 	digest   uint64
 	in       request.Incoming
 	sentAt   time.Duration
-	deadline time.Duration
 	dispatch request.Dispatch
 	answered map[uint32]int // op that answered each dispatch
 	done     bool
@@ -221,7 +221,7 @@
 	s := n.sim
 	v := &view.View{
 		FreshUntil: n.clock().Add(simLease), Self: n.member, Config: s.config,
-		Servers: map[model.ServerID]*view.Server{},
+		Servers: map[model.ServerID]*view.Server{}, ShuttingDown: n.leaving,
 	}
 	if n.view != nil {
 		v.Sequence = n.view.Sequence + 1
