--- /dev/null
+++ b/internal/core/note/check.go
@@ -0,0 +1,166 @@
+package note
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/savorytiller/savorytiller/internal/core/model"
+)
+
+// Limits of names and durations in a note.
+const (
+	MaxName  = 128
+	MaxKinds = 64
+	// MaxTimeout keeps every duration far from overflow.
+	MaxTimeout = 24 * time.Hour
+	MaxBody    = 1 << 40
+)
+
+// Defaults for values that a note leaves at zero.
+const (
+	DefaultIdleTimeout    = 15 * time.Minute
+	DefaultRequestTimeout = 5 * time.Second
+	DefaultMaxBody        = 4 << 20
+)
+
+func contradiction(format string, args ...any) *Refusal {
+	return Refuse(model.ReasonNoteContradictory, format, args...)
+}
+
+func checkName(what, name string) *Refusal {
+	if name == "" || len(name) > MaxName {
+		return Refuse(model.ReasonNoteMalformed, "%s has %d bytes, allowed are 1 to %d", what, len(name), MaxName)
+	}
+	return nil
+}
+
+// checkService checks the values of one service and fills in defaults.
+func checkService(s *model.Service) *Refusal {
+	if r := checkName("service name", s.Name); r != nil {
+		return r
+	}
+	if r := checkName("host of service "+s.Name, s.Host); r != nil {
+		return r
+	}
+	if s.ID < 1 || s.ID > model.MaxServiceID {
+		return contradiction("service %s has id %d, allowed are 1 to %d", s.Name, s.ID, model.MaxServiceID)
+	}
+	if !s.VirtualAddress.IsValid() || !s.VirtualAddress.Addr().Is4() || s.VirtualAddress.Port() == 0 {
+		return Refuse(model.ReasonNoteMalformed, "service %s has virtual address %s, expected an IPv4 address and port",
+			s.Name, s.VirtualAddress)
+	}
+	for _, d := range []time.Duration{s.IdleTimeout, s.RequestTimeout} {
+		if d < 0 || d > MaxTimeout {
+			return contradiction("service %s has timeout %s, allowed are 0 to %s", s.Name, d, MaxTimeout)
+		}
+	}
+	if s.MaxBody < 0 || s.MaxBody > MaxBody {
+		return contradiction("service %s has max_body_bytes %d", s.Name, s.MaxBody)
+	}
+	if s.IdleTimeout == 0 {
+		s.IdleTimeout = DefaultIdleTimeout
+	}
+	if s.RequestTimeout == 0 {
+		s.RequestTimeout = DefaultRequestTimeout
+	}
+	if s.MaxBody == 0 {
+		s.MaxBody = DefaultMaxBody
+	}
+	return checkKinds(s)
+}
+
+func checkKinds(s *model.Service) *Refusal {
+	if len(s.Kinds) > MaxKinds {
+		return contradiction("service %s has %d kinds, allowed are %d", s.Name, len(s.Kinds), MaxKinds)
+	}
+	names, shares, sum := map[string]bool{}, map[string]uint8{}, 0
+	for _, k := range s.Kinds {
+		if r := checkName("kind name of service "+s.Name, k.Name); r != nil {
+			return r
+		}
+		if names[k.Name] {
+			return contradiction("service %s has kind %s twice", s.Name, k.Name)
+		}
+		names[k.Name] = true
+		if share, seen := shares[k.Class]; seen && share != k.Share {
+			return contradiction("service %s gives class %q two shares, %d and %d", s.Name, k.Class, share, k.Share)
+		} else if !seen {
+			shares[k.Class] = k.Share
+			sum += int(k.Share)
+		}
+	}
+	if sum > 100 {
+		return contradiction("service %s guarantees %d percent of its slots", s.Name, sum)
+	}
+	return nil
+}
+
+// checkServer checks the values of one server.
+func checkServer(s *Server) *Refusal {
+	if r := checkName("server id", string(s.ID)); r != nil {
+		return r
+	}
+	if r := checkName("zone of server "+string(s.ID), string(s.Zone)); r != nil {
+		return r
+	}
+	if s.Weight < 1 || s.Weight > model.MaxWeight {
+		return contradiction("server %s has weight %d, allowed are 1 to %d", s.ID, s.Weight, model.MaxWeight)
+	}
+	if s.Slots < 1 || s.Slots > model.MaxSlots {
+		return contradiction("server %s has %d slots, allowed are 1 to %d", s.ID, s.Slots, model.MaxSlots)
+	}
+	if s.Connections < 1 || s.Connections > model.MaxConnections {
+		return contradiction("server %s has %d connections, allowed are 1 to %d", s.ID, s.Connections, model.MaxConnections)
+	}
+	if !s.FlowAddress.IsValid() && !s.RequestAddress.IsValid() {
+		return Refuse(model.ReasonNoteMalformed, "server %s has neither a flow address nor a request address", s.ID)
+	}
+	for _, a := range []netip.AddrPort{s.FlowAddress, s.RequestAddress} {
+		if a != (netip.AddrPort{}) && (!a.IsValid() || a.Port() == 0 || a.Addr().IsUnspecified()) {
+			return Refuse(model.ReasonNoteMalformed, "server %s has address %s", s.ID, a)
+		}
+	}
+	return nil
+}
+
+// checkLists refuses a note that names one thing in two places.
+func (n *Note) checkLists() *Refusal {
+	seen := map[string]bool{}
+	once := func(kind, name string) *Refusal {
+		if seen[kind+name] {
+			return contradiction("%s %s is named twice", kind, name)
+		}
+		seen[kind+name] = true
+		return nil
+	}
+	var r *Refusal
+	first := func(next *Refusal) {
+		if r == nil {
+			r = next
+		}
+	}
+	for _, set := range []*Set{&n.Added, &n.Changed} {
+		for _, z := range set.Zones {
+			first(once("zone", string(z)))
+		}
+		for i := range set.Services {
+			first(once("service", set.Services[i].Name))
+			first(checkService(&set.Services[i]))
+		}
+		for i := range set.Servers {
+			first(once("server", string(set.Servers[i].ID)))
+			first(checkServer(&set.Servers[i]))
+		}
+	}
+	for _, z := range n.Withdrawn.Zones {
+		first(checkName("zone", string(z)))
+		first(once("zone", string(z)))
+	}
+	for _, s := range n.Withdrawn.Services {
+		first(once("service", s))
+	}
+	for _, s := range n.Withdrawn.Servers {
+		first(once("server", string(s)))
+	}
+	return r
+}
--- a/internal/port/errors.go
+++ b/internal/port/errors.go
@@ -8,6 +8,8 @@
 	ErrNotFound = merry.Sentinel("not found")
 	// ErrUnavailable means that the other end did not answer in time.
 	ErrUnavailable = merry.Sentinel("unavailable")
+	// ErrRemote means that the other end answered and refused the call.
+	ErrRemote = merry.Sentinel("refused by the other end")
 	// ErrForged means that a message failed authentication.
 	ErrForged = merry.Sentinel("message failed authentication")
 	// ErrTooLarge means that a message or value is over its size limit.
--- a/internal/port/port.go
+++ b/internal/port/port.go
@@ -7,7 +7,9 @@
 	"net/netip"
 	"time"
 
+	"github.com/savorytiller/savorytiller/internal/core/health"
 	"github.com/savorytiller/savorytiller/internal/core/model"
+	"github.com/savorytiller/savorytiller/internal/core/note"
 	"github.com/savorytiller/savorytiller/internal/core/view"
 )
 
@@ -71,3 +73,23 @@
 // PeerHandler answers the calls of other instances for one method. The decode
 // function fills a typed message with the parameters.
 type PeerHandler func(ctx context.Context, from model.InstanceID, decode func(any) error) (any, error)
+
+// PeerRegistry accepts the handlers of the methods that other instances call.
+// All handlers are registered before the first call arrives.
+type PeerRegistry interface {
+	Handle(method string, h PeerHandler)
+}
+
+// ObservationSink takes what traffic observed of backend servers. It never
+// blocks; an observation that does not fit is dropped and counted.
+type ObservationSink interface {
+	Observe(o health.Observation)
+}
+
+// NoteCodec decodes the values of the configuration service. Its errors are of
+// type *note.Refusal.
+type NoteCodec interface {
+	DecodeNote(raw []byte) (*note.Note, error)
+	DecodeLatest(raw []byte) (note.Latest, error)
+	DecodeCheckpoint(raw []byte) (note.Checkpoint, error)
+}
