Add a first control plane that follows the platform

Control takes the configuration and the membership straight from the platform and treats all servers as warm. Membership by own probes, spreading and server health follow.

--- /dev/null
+++ b/internal/control/control.go
@@ -0,0 +1,205 @@
+// Package control runs the one control goroutine of an instance. It owns the
+// configuration, the membership, the spreading of notes and the health of the
+// backend servers, and publishes immutable views for the traffic goroutines.
+//
+// The decisions are in machine, which is driven by events and returns effects,
+// and in the packages under internal/core. Control executes the effects in
+// short-lived goroutines that own nothing and post the results as events, so
+// a slow peer or service never delays the control goroutine.
+package control
+
+import (
+	"context"
+	"runtime"
+	"sync/atomic"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/go-logr/logr"
+
+	"github.com/savorytiller/savorytiller/internal/core/health"
+	"github.com/savorytiller/savorytiller/internal/core/model"
+	"github.com/savorytiller/savorytiller/internal/core/view"
+	"github.com/savorytiller/savorytiller/internal/port"
+)
+
+// Options configure a Control. Everything without a default is required.
+type Options struct {
+	// Self is this instance with its addresses, availability zone and incarnation.
+	Self      model.Member
+	Clock     port.Clock
+	Config    port.ConfigSource
+	Instances port.InstanceList
+	Codec     port.NoteCodec
+	Peers     port.PeerCaller
+	// Health reads the health endpoints of backend servers; nil for none.
+	Health port.ServerHealth
+	// Recorder counts decisions; nil for none.
+	Recorder port.Recorder
+	Log      logr.Logger
+	// Seed starts the random choices; two instances must not have the same.
+	Seed uint64
+	// AssumeWarm treats every server as warm from the start. Only tests and
+	// trials without ramp-up set it.
+	AssumeWarm bool
+}
+
+// Bounds of the control goroutine's queues.
+const (
+	eventQueue       = 1024
+	observationQueue = 4096
+	// maxCalls bounds the effects that run at a time. Calls to slow peers end
+	// by their timeouts, so the bound is reached only if dozens are slow.
+	maxCalls = 64
+)
+
+// Control is the control plane of one instance. It implements port.ViewReader
+// and port.ObservationSink.
+type Control struct {
+	options Options
+	machine *machine
+	events  chan event
+	running atomic.Int32
+	view    atomic.Pointer[view.View]
+	status  atomic.Pointer[Status]
+	dropped atomic.Uint64
+	stopped chan struct{}
+}
+
+// New checks the options and returns a Control that does not run yet.
+func New(o Options) (*Control, error) {
+	switch {
+	case o.Self.ID == "" || o.Self.Zone == "" || o.Self.Incarnation == 0:
+		return nil, merry.New("control: the instance needs an identifier, a zone and an incarnation")
+	case o.Clock == nil || o.Config == nil || o.Instances == nil || o.Codec == nil || o.Peers == nil:
+		return nil, merry.New("control: clock, configuration, instance list, codec and peers are required")
+	}
+	if o.Log.GetSink() == nil {
+		o.Log = logr.Discard()
+	}
+	if o.Recorder == nil {
+		o.Recorder = noRecorder{}
+	}
+	c := &Control{options: o, events: make(chan event, eventQueue), stopped: make(chan struct{})}
+	c.machine = newMachine(o)
+	return c, nil
+}
+
+// View implements port.ViewReader.
+func (c *Control) View() *view.View { return c.view.Load() }
+
+// Observe implements port.ObservationSink.
+func (c *Control) Observe(o health.Observation) {
+	if !c.offer(evObservation{o}) {
+		c.options.Recorder.Count("control", model.ReasonQueueFull)
+	}
+}
+
+// Leave announces that this instance leaves. Views from then on have
+// ShuttingDown set; peers learn it with the next heartbeats.
+func (c *Control) Leave() { c.post(evLeave{}) }
+
+// Register registers the methods that other instances call.
+func (c *Control) Register(r port.PeerRegistry) {
+	for method, decode := range decoders {
+		r.Handle(method, func(ctx context.Context, from model.InstanceID, fill func(any) error) (any, error) {
+			params := decode()
+			if err := fill(params); err != nil {
+				return nil, merry.Prepend(err, method)
+			}
+			answer := make(chan reply, 1)
+			if !c.offer(evRequest{from, params, answer}) {
+				return nil, merry.Wrap(port.ErrUnavailable, merry.AppendMessage("control queue is full"))
+			}
+			select {
+			case r := <-answer:
+				return r.result, r.err
+			case <-ctx.Done():
+				return nil, ctx.Err()
+			case <-c.stopped:
+				return nil, port.ErrUnavailable
+			}
+		})
+	}
+}
+
+// offer posts an event unless the queue is full.
+func (c *Control) offer(e event) bool {
+	select {
+	case c.events <- e:
+		return true
+	default:
+		c.dropped.Add(1)
+		return false
+	}
+}
+
+// post posts an event and waits for space; it gives up once Run has returned.
+func (c *Control) post(e event) {
+	select {
+	case c.events <- e:
+	case <-c.stopped:
+	}
+}
+
+// Run executes the control goroutine until ctx ends. It may be called once.
+func (c *Control) Run(ctx context.Context) error {
+	runtime.LockOSThread()
+	defer runtime.UnlockOSThread()
+	defer close(c.stopped)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		var e event
+		select {
+		case <-ctx.Done():
+			return nil
+		case e = <-c.events:
+		case <-timer.C:
+			e = evTimer{}
+		}
+		now := c.options.Clock.Now()
+		c.machine.handle(now, e)
+		for _, f := range c.machine.takeEffects() {
+			c.execute(ctx, f)
+		}
+		if v := c.machine.takeView(); v != nil {
+			c.view.Store(v)
+		}
+		c.status.Store(c.machine.status(now))
+		timer.Reset(max(0, c.machine.next.Sub(now)))
+	}
+}
+
+// execute runs an effect in its own goroutine, which posts the result.
+func (c *Control) execute(ctx context.Context, f effect) {
+	if c.running.Load() >= maxCalls {
+		c.options.Recorder.Count("control", model.ReasonQueueFull)
+		go c.post(f.failed(port.ErrUnavailable))
+		return
+	}
+	c.running.Add(1)
+	go func() {
+		defer c.running.Add(-1)
+		ctx, cancel := context.WithTimeout(ctx, f.limit())
+		defer cancel()
+		c.post(f.run(ctx, &c.options))
+	}()
+}
+
+// Status returns the newest state for operators; nil before Run.
+func (c *Control) Status() *Status { return c.status.Load() }
+
+var (
+	_ port.ViewReader      = (*Control)(nil)
+	_ port.ObservationSink = (*Control)(nil)
+)
+
+// noRecorder drops everything.
+type noRecorder struct{}
+
+func (noRecorder) Count(string, model.Reason)                    {}
+func (noRecorder) Observe(string, string, string, time.Duration) {}
+func (noRecorder) Decision(port.Decision)                        {}
--- /dev/null
+++ b/internal/control/events.go
@@ -0,0 +1,93 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/savorytiller/savorytiller/internal/core/health"
+	"github.com/savorytiller/savorytiller/internal/core/model"
+)
+
+// event is what the control goroutine reacts to.
+type event any
+
+type (
+	evTimer       struct{}
+	evLeave       struct{}
+	evObservation struct{ health.Observation }
+	// evRequest is a call of another instance; answer has room for one reply.
+	evRequest struct {
+		from   model.InstanceID
+		params any
+		answer chan<- reply
+	}
+	evRead struct {
+		key   string
+		value []byte
+		err   error
+	}
+	evWatched struct {
+		value    []byte
+		revision uint64
+		err      error
+	}
+	evInstances struct {
+		members []model.Member
+		err     error
+	}
+)
+
+type reply struct {
+	result any
+	err    error
+}
+
+// effect is what the control goroutine asks to be done.
+type effect interface {
+	run(ctx context.Context, o *Options) event
+	// failed is the event if the effect cannot be run.
+	failed(err error) event
+	limit() time.Duration
+}
+
+// effRead reads a key of the configuration service.
+type effRead struct{ key string }
+
+func (f effRead) limit() time.Duration { return readTimeout }
+
+func (f effRead) failed(err error) event { return evRead{f.key, nil, err} }
+
+func (f effRead) run(ctx context.Context, o *Options) event {
+	value, err := o.Config.Read(ctx, f.key)
+	return evRead{f.key, value, err}
+}
+
+// effWatch waits for a change of release/latest.
+type effWatch struct{ known uint64 }
+
+func (f effWatch) limit() time.Duration { return watchTimeout }
+
+func (f effWatch) failed(err error) event { return evWatched{nil, 0, err} }
+
+func (f effWatch) run(ctx context.Context, o *Options) event {
+	value, revision, err := o.Config.Watch(ctx, keyLatest, f.known)
+	return evWatched{value, revision, err}
+}
+
+// effInstances reads the platform's instance list.
+type effInstances struct{}
+
+func (effInstances) limit() time.Duration { return readTimeout }
+
+func (effInstances) failed(err error) event { return evInstances{nil, err} }
+
+func (effInstances) run(ctx context.Context, o *Options) event {
+	members, err := o.Instances.Instances(ctx)
+	return evInstances{members, err}
+}
+
+// Time limits of effects.
+const (
+	readTimeout   = 2 * time.Second
+	watchTimeout  = 35 * time.Second // longer than the 30 s after which the service answers
+)
--- /dev/null
+++ b/internal/control/publish.go
@@ -0,0 +1,119 @@
+package control
+
+import (
+	"slices"
+	"time"
+
+	"github.com/savorytiller/savorytiller/internal/core/model"
+	"github.com/savorytiller/savorytiller/internal/core/placement"
+	"github.com/savorytiller/savorytiller/internal/core/table"
+	"github.com/savorytiller/savorytiller/internal/core/view"
+)
+
+// ViewLease is how long traffic may act on a view. It is renewed every
+// renewEvery, so a late timer does not stop traffic, and it is shorter than
+// note.AddressQuarantine, so no outdated view outlives a quarantine.
+const (
+	ViewLease  = 3 * time.Second
+	renewEvery = time.Second
+)
+
+// publisher builds the views. It shares the parts that did not change between
+// views, because the maps of 30,000 servers take megabytes.
+type publisher struct {
+	sequence uint64
+	servers  map[model.ServerID]*view.Server
+	byNumber map[view.ServerRef]*view.Server
+	tables   map[model.ServiceID]*table.History
+	members  *placement.Members
+	self     model.Member
+	config   *model.Configuration
+}
+
+// setConfig builds the lookup tables of the services that changed.
+func (p *publisher) setConfig(c *model.Configuration, now model.Time) {
+	old := p.config
+	zonesSame := old != nil && slices.Equal(old.WithdrawnZones, c.WithdrawnZones)
+	tables := make(map[model.ServiceID]*table.History, len(c.Services))
+	for i := range c.Services {
+		s := &c.Services[i]
+		history := p.tables[s.ID]
+		var before *model.Service
+		if old != nil {
+			before = old.Service(s.ID)
+		}
+		if history != nil && zonesSame && before != nil && sameServers(before.Servers, s.Servers) {
+			tables[s.ID] = history
+			continue
+		}
+		tables[s.ID] = history.Push(table.NewGeneration(c, s), now)
+	}
+	p.tables, p.config = tables, c
+}
+
+// sameServers reports whether two lists are the same slice. Applying a note
+// shares the lists that it does not touch.
+func sameServers(a, b []model.Server) bool {
+	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
+}
+
+// assess fills in the part of a server that depends on health.
+type assess func(s *view.Server)
+
+// build returns the next view. With rebuild unset only its lease differs.
+func (p *publisher) build(now model.Time, rebuild, leaving bool, fill assess) *view.View {
+	p.sequence++
+	if rebuild && p.config != nil {
+		p.rebuild(fill)
+	}
+	return &view.View{
+		Sequence: p.sequence, FreshUntil: now.Add(ViewLease), Self: p.self, Config: p.config, Members: p.members,
+		Tables: p.tables, Servers: p.servers, ByNumber: p.byNumber, ShuttingDown: leaving,
+	}
+}
+
+func (p *publisher) rebuild(fill assess) {
+	count := 0
+	for i := range p.config.Services {
+		count += len(p.config.Services[i].Servers)
+	}
+	servers := make(map[model.ServerID]*view.Server, count)
+	byNumber := make(map[view.ServerRef]*view.Server, count)
+	withdrawn := map[model.Zone]bool{}
+	for _, z := range p.config.WithdrawnZones {
+		withdrawn[z] = true
+	}
+	for i := range p.config.Services {
+		service := &p.config.Services[i]
+		for j := range service.Servers {
+			if withdrawn[service.Servers[j].Zone] {
+				continue
+			}
+			next := view.Server{Server: service.Servers[j], Service: service.ID,
+				Number: placement.ServerNumber(service.Servers[j].ID)}
+			fill(&next)
+			kept := p.servers[next.ID]
+			if kept == nil || !equalServer(kept, &next) {
+				kept = &view.Server{}
+				*kept = next
+			}
+			servers[next.ID] = kept
+			byNumber[view.ServerRef{Service: service.ID, Number: next.Number}] = kept
+		}
+	}
+	p.servers, p.byNumber = servers, byNumber
+}
+
+func equalServer(a, b *view.Server) bool {
+	return a.Server == b.Server && a.Service == b.Service && a.Number == b.Number && a.Warmth == b.Warmth &&
+		a.Reason == b.Reason && a.NewWork == b.NewWork && a.SlotLimit == b.SlotLimit &&
+		a.ConnectionLimit == b.ConnectionLimit && slices.Equal(a.Slots, b.Slots)
+}
+
+// share returns this instance's part of a server's connections.
+func share(connections uint32, live int) uint32 {
+	if live <= 0 {
+		return 0
+	}
+	return connections / uint32(live)
+}
--- a/internal/core/health/observation.go
+++ b/internal/core/health/observation.go
@@ -47,3 +47,21 @@
 	// combine successes of up to 100 ms.
 	Count uint32
 }
+
+// Endpoint is the state that a server's own health endpoint reports.
+type Endpoint uint8
+
+// States of the health endpoint. The endpoint may be late or wrong.
+const (
+	EndpointUnknown Endpoint = iota
+	EndpointCold
+	EndpointWarm
+	EndpointDraining
+)
+
+// Report is an answer of a server's health endpoint.
+type Report struct {
+	State Endpoint
+	// Load is between 0 and 1.
+	Load float64
+}
--- a/internal/port/port.go
+++ b/internal/port/port.go
@@ -93,3 +93,8 @@
 	DecodeLatest(raw []byte) (note.Latest, error)
 	DecodeCheckpoint(raw []byte) (note.Checkpoint, error)
 }
+
+// ServerHealth reads the health endpoint of a backend server.
+type ServerHealth interface {
+	Health(ctx context.Context, server model.Server) (health.Report, error)
+}
