--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -42,7 +42,9 @@
 	return []model.Member{testMember("a-1", "a")}, nil
 }
 
-func (*oneNote) Call(context.Context, model.Member, string, any, any) error { return port.ErrUnavailable }
+func (*oneNote) Call(context.Context, model.Member, string, any, any) error {
+	return port.ErrUnavailable
+}
 
 const firstNote = `{"format":1,"version":1,"base":0,"added":{"services":[{"id":17,"name":"line","host":"line.local",
 "virtual_address":"10.80.0.17:4000"}],"servers":[{"id":"line-1","service":"line","zone":"a","weight":100,"slots":4,
--- a/internal/control/events.go
+++ b/internal/control/events.go
@@ -88,6 +88,6 @@
 
 // Time limits of effects.
 const (
-	readTimeout   = 2 * time.Second
-	watchTimeout  = 35 * time.Second // longer than the 30 s after which the service answers
+	readTimeout  = 2 * time.Second
+	watchTimeout = 35 * time.Second // longer than the 30 s after which the service answers
 )
