--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -39,6 +39,11 @@
 	Log      logr.Logger
 	// Seed starts the random choices; two instances must not have the same.
 	Seed uint64
+	// Seeds are peers that are asked before the first instance list; optional.
+	Seeds []model.Member
+	// SlotTakeoverDelay is how long an inherited slot stays unused; 0 gives
+	// DefaultSlotTakeoverDelay.
+	SlotTakeoverDelay time.Duration
 	// AssumeWarm treats every server as warm from the start. Only tests and
 	// trials without ramp-up set it.
 	AssumeWarm bool
@@ -46,13 +51,18 @@
 
 // Bounds of the control goroutine's queues.
 const (
-	eventQueue       = 1024
-	observationQueue = 4096
+	eventQueue = 4096
 	// maxCalls bounds the effects that run at a time. Calls to slow peers end
 	// by their timeouts, so the bound is reached only if dozens are slow.
 	maxCalls = 64
+	// statusEvery is the age that the state for operators may have.
+	statusEvery = 500 * time.Millisecond
 )
 
+// errBusy is the failure of an effect that was not run because too many others
+// were running. It says nothing about the other end.
+var errBusy = merry.Wrap(port.ErrUnavailable, merry.AppendMessage("too many calls are running"))
+
 // Control is the control plane of one instance. It implements port.ViewReader
 // and port.ObservationSink.
 type Control struct {
@@ -151,6 +161,7 @@
 	defer cancel()
 	timer := time.NewTimer(0)
 	defer timer.Stop()
+	var statusAt model.Time
 	for {
 		var e event
 		select {
@@ -168,7 +179,10 @@
 		if v := c.machine.takeView(); v != nil {
 			c.view.Store(v)
 		}
-		c.status.Store(c.machine.status(now))
+		if !now.Before(statusAt) {
+			c.status.Store(c.machine.status())
+			statusAt = now.Add(statusEvery)
+		}
 		timer.Reset(max(0, c.machine.next.Sub(now)))
 	}
 }
@@ -177,7 +191,7 @@
 func (c *Control) execute(ctx context.Context, f effect) {
 	if c.running.Load() >= maxCalls {
 		c.options.Recorder.Count("control", model.ReasonQueueFull)
-		go c.post(f.failed(port.ErrUnavailable))
+		go c.post(f.failed(errBusy))
 		return
 	}
 	c.running.Add(1)
--- a/internal/control/events.go
+++ b/internal/control/events.go
@@ -21,6 +21,11 @@
 		params any
 		answer chan<- reply
 	}
+	// evCalled is the result of a call to a peer.
+	evCalled struct {
+		call *effCall
+		err  error
+	}
 	evRead struct {
 		key   string
 		value []byte
@@ -35,6 +40,11 @@
 		members []model.Member
 		err     error
 	}
+	evHealth struct {
+		server model.ServerID
+		report health.Report
+		err    error
+	}
 )
 
 type reply struct {
@@ -50,6 +60,28 @@
 	limit() time.Duration
 }
 
+// effCall calls a method of a peer.
+type effCall struct {
+	to      model.Member
+	method  string
+	params  any
+	result  any
+	timeout time.Duration
+	// pauses is the number of pauses before the call. A failure that a pause
+	// of this process caused says nothing about the peer.
+	pauses int
+	// done is called in the control goroutine with the outcome.
+	done func(m *machine, err error)
+}
+
+func (f *effCall) limit() time.Duration { return f.timeout }
+
+func (f *effCall) failed(err error) event { return evCalled{f, err} }
+
+func (f *effCall) run(ctx context.Context, o *Options) event {
+	return evCalled{f, o.Peers.Call(ctx, f.to, f.method, f.params, f.result)}
+}
+
 // effRead reads a key of the configuration service.
 type effRead struct{ key string }
 
@@ -86,8 +118,21 @@
 	return evInstances{members, err}
 }
 
+// effHealth reads the health endpoint of a server.
+type effHealth struct{ server model.Server }
+
+func (f effHealth) limit() time.Duration { return healthTimeout }
+
+func (f effHealth) failed(err error) event { return evHealth{f.server.ID, health.Report{}, err} }
+
+func (f effHealth) run(ctx context.Context, o *Options) event {
+	report, err := o.Health.Health(ctx, f.server)
+	return evHealth{f.server.ID, report, err}
+}
+
 // Time limits of effects.
 const (
-	readTimeout  = 2 * time.Second
-	watchTimeout = 35 * time.Second // longer than the 30 s after which the service answers
+	readTimeout   = 2 * time.Second
+	watchTimeout  = 35 * time.Second // longer than the 30 s after which the service answers
+	healthTimeout = time.Second
 )
--- a/internal/control/machine.go
+++ b/internal/control/machine.go
@@ -1,31 +1,56 @@
 package control
 
 import (
-	"fmt"
+	"math/rand/v2"
+	"slices"
 	"time"
 
+	"github.com/savorytiller/savorytiller/internal/core/claim"
+	"github.com/savorytiller/savorytiller/internal/core/health"
+	"github.com/savorytiller/savorytiller/internal/core/member"
 	"github.com/savorytiller/savorytiller/internal/core/model"
-	"github.com/savorytiller/savorytiller/internal/core/note"
 	"github.com/savorytiller/savorytiller/internal/core/placement"
+	"github.com/savorytiller/savorytiller/internal/core/source"
+	"github.com/savorytiller/savorytiller/internal/core/spread"
 	"github.com/savorytiller/savorytiller/internal/core/view"
 )
 
-const keyLatest = "release/latest"
+// Times of the control goroutine.
+const (
+	tickEvery = time.Second
+	// wakeEvery bounds the sleep, so that a gap between two events shows a pause.
+	wakeEvery = 250 * time.Millisecond
+	// PauseLimit is the gap between two events that counts as a pause of the
+	// process. It is shorter than ViewLease.
+	PauseLimit = 2 * time.Second
+	// revalidateLimit is how long a resumed instance waits for a peer or the
+	// service before it acts on its own view again.
+	revalidateLimit = time.Second
+	// gossipEvery is the time between additional heartbeats while an update
+	// is urgent.
+	gossipEvery = 200 * time.Millisecond
+	callTimeout = 400 * time.Millisecond
+	// askTimeout leaves time for the helper's own probe.
+	askTimeout   = time.Second
+	fetchTimeout = 5 * time.Second
+	// joinTime is how long a new instance waits for its peers' versions before
+	// it reads the configuration service.
+	joinTime = time.Second
+	// unknownFleet stands for the size of the fleet before the first list.
+	unknownFleet = 500
+)
 
-// Status is the state of control for operators.
-type Status struct {
-	Version      model.Version
-	Digest       uint64
-	Members      int
-	LastRefusal  string
-	RefusedNotes uint64
-}
+// DefaultSlotTakeoverDelay is the sum of the time to notice a dead holder, to
+// spread it and of the lease of an outdated view.
+const DefaultSlotTakeoverDelay = 8 * time.Second
 
 // machine decides. It runs in the control goroutine only; it has no channel,
 // lock or clock, so a test can drive it with simulated time and transport.
 type machine struct {
 	o       Options
+	rng     *rand.Rand
 	now     model.Time
+	last    model.Time // of the previous event
 	next    model.Time
 	effects []effect
 	pub     publisher
@@ -33,22 +58,51 @@
 	rebuild bool
 	leaving bool
 
-	config   *model.Configuration
-	latest   model.Version
-	revision uint64
-	watching bool
-	reading  bool
-	listing  bool
-	listAt   model.Time
-	watchAt  model.Time
-	renewAt  model.Time
-	refusal  string
-	refused  uint64
+	members *member.Table
+	reader  *source.Reader
+	health  *health.Table
+	notes   notes
+	push    spread.Push
+	pushing bool
+	pushed  model.Version
+	servers serverState
+
+	started      model.Time
+	tickAt       model.Time
+	gossipAt     model.Time
+	renewAt      model.Time
+	listAt       model.Time
+	listing      bool
+	listed       bool
+	listAge      model.Time // last successful read of the list
+	joining      int        // join heartbeats without an answer
+	joined       bool
+	sourceSeen   model.Time // last time any instance read the service
+	contact      model.Time // last answer of the service or a peer
+	pauses       int
+	revalidating bool
+	revalidateBy model.Time
+	count        counts
+}
+
+// counts are the counters of control since its start.
+type counts struct {
+	Applied, Refused, Conflicts  uint64
+	Reads, Watches, Lists, Calls uint64
+	Pauses, Dead, SilentReplaced uint64
+	ObservationsIgnored          uint64
 }
 
 func newMachine(o Options) *machine {
-	m := &machine{o: o}
-	m.setMembers(nil)
+	if o.SlotTakeoverDelay == 0 {
+		o.SlotTakeoverDelay = DefaultSlotTakeoverDelay
+	}
+	rng := rand.New(rand.NewPCG(o.Seed, uint64(o.Self.Incarnation)^placement.HashString(string(o.Self.ID))))
+	m := &machine{o: o, rng: rng, members: member.New(o.Self, rng), reader: source.New(rng),
+		health: health.New(o.Self.Zone, o.AssumeWarm), push: spread.New(spread.Hybrid, pushRestarts, rng)}
+	m.notes.stored = map[model.Version]stored{}
+	m.servers.held = map[slotKey]model.Time{}
+	m.servers.claims = map[model.ServerID]*claim.Holder{}
 	return m
 }
 
@@ -64,136 +118,238 @@
 	return v
 }
 
-func (m *machine) status(model.Time) *Status {
-	s := &Status{LastRefusal: m.refusal, RefusedNotes: m.refused, Members: len(m.pub.members.All())}
-	if m.config != nil {
-		s.Version, s.Digest = m.config.Version, m.config.Digest
-	}
-	return s
-}
-
+// handle takes one event. It never blocks.
 func (m *machine) handle(now model.Time, e event) {
-	m.now = now
+	if m.started == 0 {
+		m.start(now)
+	}
+	if now.Sub(m.last) > PauseLimit {
+		m.resumed(now)
+	}
+	m.now, m.last = now, now
 	switch e := e.(type) {
 	case evLeave:
 		m.leaving, m.rebuild = true, true
-		m.setMembers(m.pub.members.All())
+		m.members.Leave()
+	case evObservation:
+		m.observe(e.Observation)
+	case evRequest:
+		m.request(e)
+	case evCalled:
+		if e.err == nil {
+			m.contact = now
+		}
+		e.call.done(m, e.err)
 	case evRead:
-		m.reading = false
 		m.handleRead(e)
 	case evWatched:
-		m.watching = false
 		m.handleWatched(e)
 	case evInstances:
-		m.listing = false
-		m.listAt = now.Add(time.Second)
-		if e.err == nil {
-			m.setMembers(e.members)
+		m.handleInstances(e)
+	case evHealth:
+		m.health.Reported(now, e.server, e.report, e.err != nil)
+		m.servers.polling--
+	}
+	m.work()
+}
+
+func (m *machine) start(now model.Time) {
+	if now == 0 {
+		now = 1 // 0 stands for never
+	}
+	m.started, m.last, m.now = now, now, now
+	m.sourceSeen, m.contact, m.tickAt, m.listAt, m.renewAt = now, now, now, now, now
+	m.servers.witness = claim.NewWitness(now)
+	m.refreshMembers()
+	for _, s := range m.o.Seeds {
+		m.beat(s, true, nil)
+	}
+}
+
+// resumed reacts to a pause of the process: until a peer or the service has
+// told the newest version, the view's lease is not renewed.
+func (m *machine) resumed(now model.Time) {
+	m.now = now
+	m.count.Pauses++
+	m.pauses++
+	m.revalidating, m.revalidateBy = true, now.Add(revalidateLimit)
+	m.servers.ignoreUntil = now.Add(revalidateLimit)
+	m.o.Log.Info("process was paused", "gap", now.Sub(m.last).String())
+	asked := 0
+	for range 3 {
+		if peer, ok := m.members.Random(nil); ok {
+			m.beat(peer, false, nil)
+			asked++
 		}
 	}
-	if !m.listing && !now.Before(m.listAt) {
-		m.listing = true
-		m.effects = append(m.effects, effInstances{})
+	if asked == 0 {
+		m.revalidateBy = now // nobody to ask
+	}
+}
+
+// revalidated ends the wait after a pause once the newest version that a peer
+// named is in force.
+func (m *machine) revalidated() {
+	if m.revalidating && m.version() >= m.notes.wanted {
+		m.revalidating = false
+		m.renewAt = m.now
+	}
+}
+
+// work does everything that is due and sets the next wake-up.
+func (m *machine) work() {
+	now := m.now
+	m.next = now.Add(wakeEvery)
+	if !now.Before(m.tickAt) {
+		m.tickAt = now.Add(tickEvery)
+		m.tick()
+	}
+	m.list()
+	m.gossip()
+	m.read()
+	m.advance()
+	m.pushNote()
+	if m.members.TakeChanged() {
+		m.refreshMembers()
 	}
-	if !m.watching && !now.Before(m.watchAt) {
-		m.watching = true
-		m.effects = append(m.effects, effWatch{m.revision})
+	if m.health.TakeChanged() || m.servers.due(now) {
+		m.rebuild = true
 	}
-	if m.rebuild || !now.Before(m.renewAt) {
-		m.view = m.pub.build(now, m.rebuild, m.leaving, m.fillServer)
-		m.rebuild = false
-		m.renewAt = now.Add(renewEvery)
+	m.claim()
+	if m.revalidating && !now.Before(m.revalidateBy) {
+		m.revalidating = false
+		m.renewAt = now
+	}
+	if !m.revalidating && (m.rebuild || !now.Before(m.renewAt)) {
+		m.publish()
+	}
+	m.wake(m.tickAt)
+	if !m.revalidating {
+		m.wake(m.renewAt)
 	}
-	m.next = now.Add(200 * time.Millisecond)
 }
 
-func (m *machine) setMembers(listed []model.Member) {
-	self := m.o.Self
-	if m.leaving {
-		self.Liveness = model.Leaving
+func (m *machine) wake(at model.Time) {
+	if at.Before(m.next) {
+		m.next = max(at, m.now.Add(time.Millisecond))
 	}
-	all := []model.Member{self}
-	for _, l := range listed {
-		if l.ID != self.ID {
-			all = append(all, l)
-		}
+}
+
+func (m *machine) publish() {
+	if m.rebuild {
+		m.servers.beginRebuild()
 	}
-	m.pub.self, m.pub.members = self, placement.NewMembers(all)
-	m.rebuild = true
+	m.view = m.pub.build(m.now, m.rebuild, m.leaving, m.fillServer)
+	if m.rebuild {
+		m.servers.endRebuild()
+	}
+	m.rebuild = false
+	m.renewAt = m.now.Add(renewEvery)
 }
 
-func (m *machine) handleWatched(e evWatched) {
-	if e.err != nil {
-		m.watchAt = m.now.Add(time.Second)
-		return
+// tick runs once a second.
+func (m *machine) tick() {
+	for _, target := range m.members.Tick(m.now) {
+		m.beat(target, false, nil)
 	}
-	m.revision = e.revision
-	latest, err := m.o.Codec.DecodeLatest(e.value)
-	if err != nil {
-		m.refuse(err)
-		m.watchAt = m.now.Add(time.Second)
-		return
+	if !m.joined && m.now.Sub(m.started) >= joinTime {
+		m.joined = true
 	}
-	m.latest = max(m.latest, latest.Version)
-	m.readNext()
+	m.health.Tick(m.now)
+	m.servers.witness.Expire(m.now)
+	m.pollHealth()
 }
 
-func (m *machine) version() model.Version {
-	if m.config == nil {
-		return 0
+// list reads the platform's instance list. Its period grows with the fleet,
+// so that all instances together make at most listBudget reads a second.
+func (m *machine) list() {
+	if m.listing || m.now.Before(m.listAt) {
+		m.wakeUnless(m.listing, m.listAt)
+		return
 	}
-	return m.config.Version
+	m.listing = true
+	m.count.Lists++
+	m.effects = append(m.effects, effInstances{})
 }
 
-func (m *machine) readNext() {
-	if m.latest > m.version() && !m.reading {
-		m.reading = true
-		m.effects = append(m.effects, effRead{fmt.Sprintf("release/%d", m.version()+1)})
+func (m *machine) wakeUnless(busy bool, at model.Time) {
+	if !busy {
+		m.wake(at)
 	}
 }
 
-func (m *machine) handleRead(e evRead) {
+const (
+	listBudget = 200
+	listEvery  = 2 * time.Second
+)
+
+func (m *machine) handleInstances(e evInstances) {
+	m.listing = false
+	period := max(listEvery, time.Duration(float64(m.members.Len())/listBudget*float64(time.Second)))
+	m.listAt = m.now.Add(period/2 + time.Duration(m.rng.Int64N(int64(period))))
 	if e.err != nil {
-		m.watchAt, m.revision = m.now.Add(time.Second), 0
 		return
 	}
-	n, err := m.o.Codec.DecodeNote(e.value)
-	if err == nil {
-		var c *model.Configuration
-		if c, err = note.Apply(m.config, n); err == nil {
-			m.config = c
-			m.pub.setConfig(c, m.now)
-			m.rebuild = true
-			m.o.Log.Info("note in force", "version", c.Version)
-			m.readNext()
-			return
+	first := !m.listed
+	m.listed, m.listAge = true, m.now
+	m.members.SetList(m.now, e.members)
+	m.witnessesChanged()
+	if first {
+		m.join()
+	}
+}
+
+// join asks some peers for what a new instance has missed.
+func (m *machine) join() {
+	asked := map[model.InstanceID]bool{}
+	for range 8 {
+		if p, ok := m.members.Random(nil); ok && !asked[p.ID] && len(asked) < 3 {
+			asked[p.ID] = true
+			m.joining++
+			m.beat(p, true, nil)
 		}
 	}
-	m.refuse(err)
+	if m.joining == 0 {
+		m.joined = true // the first instance
+	}
 }
 
-func (m *machine) refuse(err error) {
-	m.refusal = err.Error()
-	m.refused++
-	m.o.Log.Info("note refused", "reason", err.Error())
+func (m *machine) refreshMembers() {
+	all := m.members.Members()
+	m.pub.self, m.pub.members = m.members.Self(), placement.NewMembers(all)
+	m.servers.watcher = m.isWatcher()
+	m.servers.zones = countZones(all)
+	m.refreshHomes()
+	m.rebuild = true
 }
 
-// fillServer decides what this instance may do with a server.
-func (m *machine) fillServer(s *view.Server) {
-	s.Warmth = view.Warm
-	if s.Zone != m.o.Self.Zone {
-		s.Reason = model.ReasonOtherZone
-		return
-	}
-	for slot := 0; slot < int(s.Server.Slots); slot++ {
-		if h := m.pub.members.SlotHolder(s.ID, s.Zone, slot); h != nil && h.ID == m.o.Self.ID {
-			s.Slots = append(s.Slots, uint16(slot))
-		}
+func countZones(all []model.Member) int {
+	zones := map[model.Zone]bool{}
+	for i := range all {
+		zones[all[i].Zone] = true
 	}
-	s.SlotLimit = len(s.Slots)
-	s.ConnectionLimit = share(s.Connections, m.pub.members.LiveIn(s.Zone))
-	s.NewWork = s.State == model.ServerActive && !m.leaving
-	if s.State == model.ServerDraining {
-		s.Reason = model.ReasonServerDraining
+	return len(zones)
+}
+
+// isWatcher reports whether this instance is among the watchers of its zone.
+func (m *machine) isWatcher() bool {
+	self := m.o.Self
+	ranked := m.pub.members.Rank(nil, self.Zone, placement.HashString("watcher"), source.WatchersPerZone, false)
+	return slices.ContainsFunc(ranked, func(r *model.Member) bool { return r.ID == self.ID })
+}
+
+// input is what the plan of reads depends on.
+func (m *machine) input() source.Input {
+	fleet := m.members.Len()
+	if !m.listed {
+		fleet = max(fleet, unknownFleet)
 	}
+	return source.Input{Fleet: fleet, Zones: m.servers.zones, Watcher: m.servers.watcher && m.joined && m.listed,
+		Age: m.now.Sub(m.sourceSeen), Waiting: m.joined && m.version() == 0}
+}
+
+func (m *machine) call(f *effCall) {
+	f.pauses = m.pauses
+	m.count.Calls++
+	m.effects = append(m.effects, f)
 }
--- /dev/null
+++ b/internal/control/sim_test.go
@@ -0,0 +1,414 @@
+package control
+
+import (
+	"container/heap"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"reflect"
+	"time"
+
+	"github.com/savorytiller/savorytiller/internal/adapter/platform"
+	"github.com/savorytiller/savorytiller/internal/core/model"
+	"github.com/savorytiller/savorytiller/internal/core/view"
+	"github.com/savorytiller/savorytiller/internal/port"
+)
+
+// sim drives the machines of a fleet in simulated time over an in-memory
+// transport, so that a test of minutes takes milliseconds and repeats exactly.
+type sim struct {
+	now   model.Time
+	queue simQueue
+	order int
+	rng   *rand.Rand
+	nodes map[model.InstanceID]*simNode
+	ids   []model.InstanceID
+	// listed is what the instance list shows.
+	listed []model.Member
+	svc    simService
+	loss   float64
+	delay  time.Duration
+	// cut reports whether two instances cannot reach each other.
+	cut func(a, b model.InstanceID) bool
+	// adjust changes the options of a new instance; optional.
+	adjust func(*Options)
+	// after is called after each event of a node; optional.
+	after func(n *simNode)
+	calls int
+}
+
+type simNode struct {
+	s        *sim
+	self     model.Member
+	m        *machine
+	view     *view.View
+	up       bool
+	paused   bool
+	deferred []event
+	timer    int
+	pending  []*simPending
+}
+
+type simPending struct {
+	answer chan reply
+	call   *effCall
+	caller *simNode
+	run    *machine
+	done   *bool
+}
+
+// simService is the configuration service.
+type simService struct {
+	values   map[string][]byte
+	revision uint64
+	down     bool
+	// stale holds the values that are served instead, if set.
+	stale    map[string][]byte
+	waiting  []*simWatch
+	perTime  map[int64]int // calls by second
+	listDown bool
+}
+
+type simWatch struct {
+	node  *simNode
+	run   *machine
+	known uint64
+	ended bool
+}
+
+type simEvent struct {
+	at    model.Time
+	order int
+	do    func()
+}
+
+type simQueue []simEvent
+
+func (q simQueue) Len() int { return len(q) }
+func (q simQueue) Less(i, j int) bool {
+	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].order < q[j].order
+}
+func (q simQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *simQueue) Push(x any)   { *q = append(*q, x.(simEvent)) }
+func (q *simQueue) Pop() any {
+	old := *q
+	e := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return e
+}
+
+func newSim(seed uint64) *sim {
+	return &sim{now: model.Time(time.Hour), rng: rand.New(rand.NewPCG(seed, 1)), nodes: map[model.InstanceID]*simNode{},
+		delay: 3 * time.Millisecond, svc: simService{values: map[string][]byte{}, perTime: map[int64]int{}}}
+}
+
+func (s *sim) at(d time.Duration, do func()) {
+	s.order++
+	heap.Push(&s.queue, simEvent{s.now.Add(d), s.order, do})
+}
+
+// run advances simulated time.
+func (s *sim) run(d time.Duration) {
+	end := s.now.Add(d)
+	for len(s.queue) > 0 && !s.queue[0].at.After(end) {
+		e := heap.Pop(&s.queue).(simEvent)
+		s.now = e.at
+		e.do()
+	}
+	s.now = end
+}
+
+// add starts an instance and lists it.
+func (s *sim) add(id, zone string) *simNode {
+	port := uint16(1000 + len(s.ids))
+	a := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), port)
+	self := model.Member{ID: model.InstanceID(id), Zone: model.Zone(zone), FlowAddress: a, PeerAddress: a, RequestAddress: a}
+	n := &simNode{s: s, self: self}
+	s.nodes[self.ID] = n
+	s.ids = append(s.ids, self.ID)
+	s.listed = append(s.listed, self)
+	n.start()
+	return n
+}
+
+func (n *simNode) start() {
+	s := n.s
+	n.self.Incarnation = model.Incarnation(s.now)
+	o := Options{Self: n.self, Codec: platform.Codec{}, Recorder: noRecorder{}, Seed: s.rng.Uint64()}
+	if s.adjust != nil {
+		s.adjust(&o)
+	}
+	n.m, n.view, n.up, n.paused, n.deferred, n.pending = newMachine(o), nil, true, false, nil, nil
+	n.deliver(evTimer{})
+}
+
+func (n *simNode) crash() { n.up = false }
+
+func (n *simNode) pause(d time.Duration) {
+	n.paused = true
+	run := n.m
+	n.s.at(d, func() {
+		if n.m != run {
+			return
+		}
+		n.paused = false
+		events := n.deferred
+		n.deferred = nil
+		for _, e := range events {
+			n.deliver(e)
+		}
+		n.deliver(evTimer{})
+	})
+}
+
+func (n *simNode) deliver(e event) {
+	if !n.up {
+		return
+	}
+	if n.paused {
+		n.deferred = append(n.deferred, e)
+		return
+	}
+	n.m.handle(n.s.now, e)
+	for _, f := range n.m.takeEffects() {
+		n.execute(f)
+	}
+	if v := n.m.takeView(); v != nil {
+		n.view = v
+	}
+	n.answers()
+	n.timer++
+	timer, run := n.timer, n.m
+	n.s.at(max(0, n.m.next.Sub(n.s.now)), func() {
+		if n.timer == timer && n.m == run {
+			n.deliver(evTimer{})
+		}
+	})
+	if n.s.after != nil {
+		n.s.after(n)
+	}
+}
+
+// answers sends the answers that became ready.
+func (n *simNode) answers() {
+	kept := n.pending[:0]
+	for _, p := range n.pending {
+		select {
+		case r := <-p.answer:
+			n.s.reply(n, p, r)
+		default:
+			kept = append(kept, p)
+		}
+	}
+	n.pending = kept
+}
+
+func (s *sim) reply(from *simNode, p *simPending, r reply) {
+	if s.rng.Float64() < s.loss || s.isCut(from.self.ID, p.caller.self.ID) {
+		return
+	}
+	s.at(s.delay, func() {
+		if *p.done || p.caller.m != p.run {
+			return
+		}
+		*p.done = true
+		err := r.err
+		if err == nil {
+			copyMessage(p.call.result, r.result)
+		}
+		p.caller.deliver(evCalled{p.call, err})
+	})
+}
+
+// copyMessage passes a message on as the codec would, so that no instance
+// changes the state of another one.
+func copyMessage(to, from any) {
+	raw, err := json.Marshal(from)
+	if err != nil {
+		panic(err)
+	}
+	if err := json.Unmarshal(raw, to); err != nil {
+		panic(err)
+	}
+}
+
+func (s *sim) isCut(a, b model.InstanceID) bool { return s.cut != nil && s.cut(a, b) }
+
+func (n *simNode) execute(f effect) {
+	s, run := n.s, n.m
+	switch f := f.(type) {
+	case *effCall:
+		n.call(f)
+	case effRead:
+		s.count()
+		s.at(s.delay, func() {
+			if n.m == run {
+				value, err := s.svc.get(f.key)
+				n.deliver(evRead{f.key, value, err})
+			}
+		})
+	case effWatch:
+		s.count()
+		w := &simWatch{node: n, run: run, known: f.known}
+		s.svc.waiting = append(s.svc.waiting, w)
+		s.at(s.delay, func() { s.watchers(w, false) })
+		s.at(30*time.Second, func() { s.watchers(w, true) })
+	case effInstances:
+		s.at(s.delay, func() {
+			if n.m != run {
+				return
+			}
+			if s.svc.listDown {
+				n.deliver(evInstances{nil, port.ErrUnavailable})
+				return
+			}
+			n.deliver(evInstances{append([]model.Member(nil), s.listed...), nil})
+		})
+	}
+}
+
+func (n *simNode) call(f *effCall) {
+	s, run, done := n.s, n.m, new(bool)
+	s.calls++
+	finish := func(err error) {
+		if !*done && n.m == run {
+			*done = true
+			n.deliver(evCalled{f, err})
+		}
+	}
+	s.at(f.timeout, func() { finish(port.ErrUnavailable) })
+	target := s.nodes[f.to.ID]
+	if target == nil || s.rng.Float64() < s.loss || s.isCut(n.self.ID, f.to.ID) {
+		return
+	}
+	params := reflect.New(reflect.TypeOf(f.params).Elem()).Interface()
+	copyMessage(params, f.params)
+	s.at(s.delay, func() {
+		if !target.up {
+			s.at(s.delay, func() { finish(port.ErrUnavailable) })
+			return
+		}
+		answer := make(chan reply, 1)
+		target.pending = append(target.pending, &simPending{answer, f, n, run, done})
+		target.deliver(evRequest{n.self.ID, params, answer})
+	})
+}
+
+func (s *sim) count() { s.svc.perTime[int64(s.now)/int64(time.Second)]++ }
+
+func (v *simService) get(key string) ([]byte, error) {
+	if v.down {
+		return nil, port.ErrUnavailable
+	}
+	values := v.values
+	if v.stale != nil {
+		values = v.stale
+	}
+	value, ok := values[key]
+	if !ok {
+		return nil, port.ErrNotFound
+	}
+	return value, nil
+}
+
+// watchers answers one watch if it is due.
+func (s *sim) watchers(w *simWatch, expired bool) {
+	if w.ended || w.node.m != w.run {
+		return
+	}
+	value, err := s.svc.get(keyLatest)
+	switch {
+	case err != nil:
+		w.ended = true
+		w.node.deliver(evWatched{nil, 0, err})
+	case expired || s.revision() != w.known:
+		w.ended = true
+		w.node.deliver(evWatched{value, s.revision(), nil})
+	}
+}
+
+func (s *sim) revision() uint64 {
+	if s.svc.stale != nil {
+		return 1_000_000
+	}
+	return s.svc.revision
+}
+
+// changed answers the waiting watches after a change of the service.
+func (s *sim) changed() {
+	waiting := s.svc.waiting
+	s.svc.waiting = nil
+	for _, w := range waiting {
+		s.at(s.delay, func() { s.watchers(w, false) })
+	}
+	for _, w := range waiting {
+		if !w.ended {
+			s.svc.waiting = append(s.svc.waiting, w)
+		}
+	}
+}
+
+// publish adds the next release note.
+func (s *sim) publish(body string) model.Version {
+	s.svc.revision++
+	v := s.svc.revision
+	base := v - 1
+	s.svc.values[fmt.Sprintf("release/%d", v)] = fmt.Appendf(nil, `{"format":1,"version":%d,"base":%d,%s}`, v, base, body)
+	s.svc.values[keyLatest] = fmt.Appendf(nil, `{"version":%d,"digest":""}`, v)
+	s.changed()
+	return model.Version(v)
+}
+
+// snapshot returns the present values, to be served later as stale ones.
+func (v *simService) snapshot() map[string][]byte {
+	old := map[string][]byte{}
+	for k, value := range v.values {
+		old[k] = value
+	}
+	return old
+}
+
+// firstBody is a service with the given number of servers in each zone.
+func firstBody(servers int, zones ...string) string {
+	body := `"added":{"services":[{"id":17,"name":"line","host":"line.local","virtual_address":"10.80.0.17:4000"}],"servers":[`
+	for z, zone := range zones {
+		for i := range servers {
+			if z+i > 0 {
+				body += ","
+			}
+			body += serverJSON(fmt.Sprintf("%s-s%d", zone, i), "line", zone, 5000+100*z+i, "active")
+		}
+	}
+	return body + `]}`
+}
+
+func serverJSON(id, service, zone string, port int, state string) string {
+	return fmt.Sprintf(`{"id":%q,"service":%q,"zone":%q,"weight":100,"slots":4,"connections":2000,"state":%q,`+
+		`"flow_address":"127.0.0.1:%d","request_address":"127.0.0.1:%d"}`, id, service, zone, state, port, port)
+}
+
+// weightBody changes the weight of a server, as an example of any change.
+func weightBody(id, zone string, port, weight int) string {
+	return fmt.Sprintf(`"changed":{"servers":[{"id":%q,"service":"line","zone":%q,"weight":%d,"slots":4,"connections":2000,`+
+		`"state":"active","flow_address":"127.0.0.1:%d","request_address":"127.0.0.1:%d"}]}`, id, zone, weight, port, port)
+}
+
+// fleet starts the given number of instances in each zone.
+func (s *sim) fleet(perZone int, zones ...string) {
+	for _, z := range zones {
+		for i := range perZone {
+			s.add(fmt.Sprintf("%s-%d", z, i+1), z)
+		}
+	}
+}
+
+func (s *sim) versions() []model.Version {
+	var out []model.Version
+	for _, id := range s.ids {
+		if s.nodes[id].up {
+			out = append(out, s.nodes[id].m.version())
+		}
+	}
+	return out
+}
--- a/internal/core/member/member.go
+++ b/internal/core/member/member.go
@@ -143,6 +143,12 @@
 	return p.member, true
 }
 
+// Contacted reports whether this instance ever had direct contact with the member.
+func (t *Table) Contacted(id model.InstanceID) bool {
+	p, ok := t.peers[id]
+	return ok && p.contact
+}
+
 // Len returns the number of known instances, dead ones included.
 func (t *Table) Len() int { return len(t.peers) + 1 }
 
--- a/internal/core/note/note.go
+++ b/internal/core/note/note.go
@@ -99,3 +99,30 @@
 	}
 	return whole, nil
 }
+
+// Split returns a complete configuration as the parts of a checkpoint.
+func Split(c *model.Configuration, services, servers int) []*Note {
+	parts := []*Note{{Format: Format, Version: c.Version, Withdrawn: Removal{Zones: c.WithdrawnZones}}}
+	last := parts[0]
+	next := func() {
+		last = &Note{Format: Format, Version: c.Version}
+		parts = append(parts, last)
+	}
+	for i := range c.Services {
+		if len(last.Added.Services) >= services {
+			next()
+		}
+		s := c.Services[i]
+		s.Servers = nil
+		last.Added.Services = append(last.Added.Services, s)
+	}
+	for i := range c.Services {
+		for j := range c.Services[i].Servers {
+			if len(last.Added.Servers) >= servers {
+				next()
+			}
+			last.Added.Servers = append(last.Added.Servers, Server{c.Services[i].Name, c.Services[i].Servers[j]})
+		}
+	}
+	return parts
+}
