Add stand-ins for platform, fabric and backend servers, and the load tool

The demo and the failure runs need the outside systems on loopback. The load tool compares what callers were told with what the backend servers recorded. Not yet run against an entry instance.

--- /dev/null
+++ b/cmd/savoryload/main.go
@@ -0,0 +1,48 @@
+// Command savoryload sends the traffic of a deployment and checks that no
+// promise was broken. Its exit status is 0 only then.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kong"
+
+	"github.com/savorytiller/savorytiller/internal/standin/load"
+)
+
+type commandLine struct {
+	Deployment string        `required:"" enum:"dosenfalz,mandi" help:"Deployment whose traffic is sent."`
+	Fabric     string        `required:"" help:"Address of the fabric stand-in."`
+	Platform   string        `required:"" help:"Address of the platform stand-in."`
+	Backend    string        `required:"" help:"Control address of the backend stand-in."`
+	Duration   time.Duration `default:"25s" help:"Time during which requests are started."`
+	Seed       uint64        `default:"1" help:"Seed of all random choices."`
+	Scale      float64       `default:"1" help:"Factor on the request rates."`
+	MinService float64       `default:"0.9" help:"Smallest accepted share of completed operations."`
+	Unplanned  bool          `help:"The run contains crashes: broken flows are reported but accepted."`
+	JSON       string        `help:"File for the report in JSON."`
+}
+
+func main() {
+	var c commandLine
+	parser := kong.Parse(&c, kong.Description("Load generator and checker."))
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	report, err := load.Run(ctx, load.Options{Deployment: c.Deployment, Fabric: c.Fabric, Platform: c.Platform,
+		Backend: c.Backend, Duration: c.Duration, Seed: c.Seed, Scale: c.Scale, Unplanned: c.Unplanned, MinService: c.MinService})
+	parser.FatalIfErrorf(err)
+	if c.JSON != "" {
+		encoded, err := json.MarshalIndent(report, "", "  ")
+		parser.FatalIfErrorf(err)
+		parser.FatalIfErrorf(os.WriteFile(c.JSON, encoded, 0o644))
+	}
+	report.Write(os.Stdout)
+	if !report.Passed {
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/cmd/savorystub/main.go
@@ -0,0 +1,102 @@
+// Command savorystub runs the stand-ins for the platform, the fabric and the
+// backend servers on loopback.
+package main
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kong"
+	"github.com/ansel1/merry/v2"
+
+	"github.com/savorytiller/savorytiller/internal/standin"
+	"github.com/savorytiller/savorytiller/internal/standin/fabric"
+)
+
+type commandLine struct {
+	Platform platformCommand `cmd:"" help:"Configuration service and instance list."`
+	Fabric   fabricCommand   `cmd:"" help:"Network that sprays packets over the instances."`
+	Backend  backendCommand  `cmd:"" help:"Backend servers of a deployment."`
+	Call     callCommand     `cmd:"" help:"Send a request to a stand-in and print the answer."`
+}
+
+type platformCommand struct {
+	Lag    time.Duration `default:"1s" help:"Delay of changes in the instance list."`
+	Report string        `help:"File for the address; standard output without it."`
+}
+
+func (c *platformCommand) Run(ctx context.Context) error {
+	return standin.RunPlatform(ctx, c.Lag, c.Report)
+}
+
+type fabricCommand struct {
+	Platform string        `required:"" help:"Address of the platform stand-in."`
+	Seed     uint64        `default:"1" help:"Seed of the choice of instances, losses and delays."`
+	Loss     float64       `help:"Share of packets that is lost."`
+	Delay    time.Duration `help:"Mean one-way delay."`
+	Report   string        `help:"File for the address; standard output without it."`
+}
+
+func (c *fabricCommand) Run(ctx context.Context) error {
+	return standin.RunFabric(ctx, fabric.Options{Platform: c.Platform, Seed: c.Seed, Loss: c.Loss, Delay: c.Delay}, c.Report)
+}
+
+type backendCommand struct {
+	Deployment string `required:"" enum:"dosenfalz,mandi" help:"Deployment whose servers run."`
+	Seed       uint64 `default:"1" help:"Seed of the work times."`
+	Note       string `help:"File for the first release note; standard output without it."`
+	Report     string `help:"File for the control address; standard output without it."`
+}
+
+func (c *backendCommand) Run(ctx context.Context) error {
+	return standin.RunBackend(ctx, c.Deployment, c.Seed, c.Note, c.Report)
+}
+
+type callCommand struct {
+	Method string `arg:""`
+	URL    string `arg:""`
+	Data   string `help:"File with the body."`
+}
+
+// Run exists so that scripts need no HTTP client of the machine.
+func (c *callCommand) Run(ctx context.Context) error {
+	var body io.Reader
+	if c.Data != "" {
+		file, err := os.Open(c.Data)
+		if err != nil {
+			return merry.Wrap(err)
+		}
+		defer file.Close()
+		body = file
+	}
+	request, err := http.NewRequestWithContext(ctx, c.Method, c.URL, body)
+	if err != nil {
+		return merry.Wrap(err)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return merry.Wrap(err)
+	}
+	defer response.Body.Close()
+	if _, err := io.Copy(os.Stdout, response.Body); err != nil {
+		return merry.Wrap(err)
+	}
+	if response.StatusCode >= 300 {
+		return merry.Errorf("%s %s: %s", c.Method, c.URL, response.Status)
+	}
+	return nil
+}
+
+func main() {
+	var c commandLine
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	parser := kong.Parse(&c, kong.Description("Stand-ins for the outside systems."),
+		kong.BindTo(ctx, (*context.Context)(nil)))
+	parser.FatalIfErrorf(parser.Run())
+}
--- /dev/null
+++ b/internal/standin/fabric/fabric.go
@@ -0,0 +1,133 @@
+// Package fabric stands in for the network fabric: it takes the packets of
+// callers and sends each to a random live instance, whatever its flow.
+package fabric
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/savorytiller/savorytiller/internal/standin/wire"
+)
+
+// listInterval is the time between two reads of the instance list. It is short
+// so that the lag of the list itself dominates.
+const listInterval = 200 * time.Millisecond
+
+// Options are the properties of the simulated network.
+type Options struct {
+	Platform string
+	Seed     uint64
+	// Loss is the share of packets that is lost.
+	Loss float64
+	// Delay is the mean one-way delay; each packet is delayed by up to twice as much.
+	Delay time.Duration
+}
+
+// Fabric sprays packets. Run is its traffic goroutine, Watch its control goroutine.
+type Fabric struct {
+	options Options
+	conn    *net.UDPConn
+	targets atomic.Pointer[[]netip.AddrPort]
+	client  http.Client
+}
+
+// New opens the fabric's socket for callers.
+func New(options Options) (*Fabric, error) {
+	conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		return nil, merry.Wrap(err)
+	}
+	_ = conn.SetReadBuffer(4 << 20)
+	f := &Fabric{options: options, conn: conn, client: http.Client{Timeout: 2 * time.Second}}
+	f.targets.Store(&[]netip.AddrPort{})
+	return f, nil
+}
+
+// Address is where callers send their packets.
+func (f *Fabric) Address() netip.AddrPort { return f.conn.LocalAddr().(*net.UDPAddr).AddrPort() }
+
+// Watch reads the instance list until the context ends. A failed read keeps the
+// last list.
+func (f *Fabric) Watch(ctx context.Context) {
+	ticker := time.NewTicker(listInterval)
+	defer ticker.Stop()
+	for {
+		if targets, err := f.fetch(ctx); err == nil {
+			f.targets.Store(&targets)
+		}
+		select {
+		case <-ctx.Done():
+			_ = f.conn.Close()
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (f *Fabric) fetch(ctx context.Context) ([]netip.AddrPort, error) {
+	list, err := FetchInstances(ctx, &f.client, f.options.Platform)
+	if err != nil {
+		return nil, err
+	}
+	var targets []netip.AddrPort
+	for _, instance := range list.Instances {
+		if address, err := netip.ParseAddrPort(instance.FlowAddress); err == nil && instance.State == "live" {
+			targets = append(targets, address)
+		}
+	}
+	return targets, nil
+}
+
+// FetchInstances reads the platform's instance list.
+func FetchInstances(ctx context.Context, client *http.Client, platform string) (*wire.InstanceList, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+platform+"/v1/instances", nil)
+	if err != nil {
+		return nil, merry.Wrap(err)
+	}
+	response, err := client.Do(request)
+	if err != nil {
+		return nil, merry.Wrap(err)
+	}
+	defer response.Body.Close()
+	var list wire.InstanceList
+	if err := json.NewDecoder(response.Body).Decode(&list); err != nil {
+		return nil, merry.Wrap(err)
+	}
+	return &list, nil
+}
+
+// Run forwards packets until the socket is closed.
+func (f *Fabric) Run() error {
+	random := rand.New(rand.NewPCG(f.options.Seed, 1))
+	buffer := make([]byte, wire.MaxPacket)
+	for {
+		n, _, err := f.conn.ReadFromUDPAddrPort(buffer)
+		if err != nil {
+			return merry.Wrap(err)
+		}
+		targets := *f.targets.Load()
+		if len(targets) == 0 || random.Float64() < f.options.Loss {
+			continue
+		}
+		packet, err := wire.EncodeGeneve(0, buffer[:n])
+		if err != nil {
+			continue
+		}
+		target := targets[random.IntN(len(targets))]
+		if f.options.Delay == 0 {
+			_, _ = f.conn.WriteToUDPAddrPort(packet, target)
+			continue
+		}
+		time.AfterFunc(time.Duration(random.Int64N(int64(2*f.options.Delay))), func() {
+			_, _ = f.conn.WriteToUDPAddrPort(packet, target)
+		})
+	}
+}
--- /dev/null
+++ b/internal/standin/load/judge.go
@@ -0,0 +1,219 @@
+package load
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/savorytiller/savorytiller/internal/standin/backend"
+	"github.com/savorytiller/savorytiller/internal/standin/deployment"
+)
+
+// unknownMargin is the time that a reset needs to end the caller's feed.
+const unknownMargin = time.Second
+
+// judge compares the callers' view with the records of the backend servers.
+func judge(options Options, d *deployment.Deployment, l *ledger, records []backend.Record) *Report {
+	r := newReport(options, l)
+	byServer := map[string]*backend.Record{}
+	runs := map[string][]int64{}
+	for i := range records {
+		byServer[records[i].ID] = &records[i]
+		for _, run := range records[i].Requests.Runs {
+			runs[run.Operation] = append(runs[run.Operation], run.At)
+		}
+	}
+	r.judgeFeeds(l.feeds, byServer)
+	for i := range l.operations {
+		r.judgeOperation(&l.operations[i], runs)
+	}
+	ended := map[string]time.Time{}
+	for i := range l.feeds {
+		ended[l.feeds[i].source] = l.feeds[i].ended
+	}
+	for i := range records {
+		r.judgeServer(&records[i])
+		r.judgeUnknown(&records[i], ended)
+	}
+	r.Imbalance = imbalance(d, records)
+	r.judgeService(d)
+	r.summarize(options)
+	return r
+}
+
+func (r *Report) judgeFeeds(feeds []feedResult, servers map[string]*backend.Record) {
+	for i := range feeds {
+		f := &feeds[i]
+		r.Feeds.Messages += f.messages
+		if f.end == feedRefused {
+			r.Feeds.Refused++
+			continue
+		}
+		r.Feeds.Opened++
+		if !f.short {
+			r.Feeds.Long++
+		}
+		if f.end == feedClosed {
+			r.Feeds.LongestGapMs = max(r.Feeds.LongestGapMs, f.longestGap.Milliseconds())
+			continue
+		}
+		if excused(f, servers[f.server]) {
+			r.Feeds.Excused++
+			continue
+		}
+		r.Feeds.Broken[string(f.end)]++
+		r.violate(PromisePlannedChange, "feed of %s at %s: %s at %.1f s after %d messages", f.service, f.server, f.end,
+			f.ended.Sub(r.start).Seconds(), f.messages)
+	}
+}
+
+// excused reports whether the feed ended because its server crashed or its zone
+// was taken out of service while the feed was open.
+func excused(f *feedResult, server *backend.Record) bool {
+	if server == nil {
+		return false
+	}
+	return slices.ContainsFunc(server.Excuses, func(from int64) bool {
+		return from <= f.ended.UnixNano() && f.opened.Add(-backend.Grace).UnixNano() <= from
+	})
+}
+
+func (r *Report) judgeOperation(o *operationResult, runs map[string][]int64) {
+	class := r.class(o.service + "/" + o.class)
+	class.Started++
+	class.Transmissions += len(o.attempts)
+	if o.wrong != "" {
+		r.violate(PromiseWholeAnswer, "%s", o.wrong)
+	}
+	for _, a := range o.attempts {
+		if a.outcome != completed {
+			class.Reasons[string(a.outcome)+" "+a.reason]++
+		}
+	}
+	total, firstKnown := 0, time.Time{}
+	for _, a := range o.attempts {
+		if a.outcome != notRun && firstKnown.IsZero() {
+			firstKnown = a.sentAt
+		}
+	}
+	var seen []string
+	for _, a := range o.attempts {
+		if slices.Contains(seen, a.operation) {
+			continue
+		}
+		seen = append(seen, a.operation)
+		total += len(runs[a.operation])
+		for _, at := range runs[a.operation] {
+			// Until an attempt has another outcome, every run is one that a caller
+			// was told had not happened.
+			if firstKnown.IsZero() || time.Unix(0, at).Before(firstKnown) {
+				r.violate(PromiseNotRun, "%s ran although refused as not run", a.operation)
+			}
+		}
+	}
+	switch o.outcome {
+	case completed:
+		class.Completed++
+		if o.took <= inTime {
+			class.InTime++
+		}
+		if total == 0 {
+			r.violate(PromiseLostWork, "%s completed without a run", seen)
+		}
+	case notRun:
+		class.NotRun++
+	default:
+		class.Unknown++
+		if total > 0 {
+			class.UnknownRan++
+		}
+	}
+	if !o.idempotent && total > 1 {
+		r.violate(PromiseAtMostOnce, "%v ran %d times", seen, total)
+	}
+}
+
+func (r *Report) judgeServer(s *backend.Record) {
+	count := func(promise string, n int, what string) {
+		if n > 0 {
+			r.violateTimes(promise, n, "%s: %d %s", s.ID, n, what)
+		}
+	}
+	count(PromiseNoCrossService, s.Flows.CrossService, "packets for another service")
+	count(PromiseNoCrossService, s.Requests.WrongHost, "requests for another service")
+	count(PromiseColdStart, s.Flows.ColdExcess, "flows above the cold allowance")
+	count(PromiseColdStart, s.Requests.ColdExcess, "requests above the cold allowance")
+	count(PromiseZoneWithdrawn, s.Flows.LateZone, "packets after the zone was withdrawn")
+	count(PromiseZoneWithdrawn, s.Requests.LateZone, "requests after the zone was withdrawn")
+	count(PromiseLeavingServer, s.Flows.LateNew, "new flows while leaving")
+	count(PromiseLeavingServer, s.Requests.LateNew, "new requests while leaving")
+	count(PromiseConnections, s.Flows.OverConnections, "flows above the connection limit")
+	r.Servers.Malformed += s.Flows.Malformed
+	r.Servers.Shed += s.Requests.Shed
+	r.Servers.Cancelled += s.Requests.Cancelled
+	r.Servers.Expired += s.Requests.Expired
+	r.Servers.Surprised += s.Flows.Surprised + s.Requests.Surprised
+}
+
+// judgeUnknown reports resets that no caller saw. The reset of a feed that the
+// caller saw broken is judged there; packets after a feed has ended do no harm.
+func (r *Report) judgeUnknown(s *backend.Record, ended map[string]time.Time) {
+	for _, packet := range s.Flows.Broken {
+		end, known := ended[packet.Source]
+		if known && packet.At >= end.Add(-unknownMargin).UnixNano() {
+			continue
+		}
+		r.violate(PromisePlannedChange, "%s: reset of an open flow from %s", s.ID, packet.Source)
+	}
+}
+
+// judgeService fails a run in which hardly anything worked: no promise is
+// broken where nothing is done.
+func (r *Report) judgeService(d *deployment.Deployment) {
+	for _, name := range sortedKeys(r.Classes) {
+		c := r.Classes[name]
+		if share := float64(c.Completed) / float64(max(1, c.Started)); share < r.minService {
+			r.violate(PromiseService, "%s: only %.1f %% of %d operations completed", name, 100*share, c.Started)
+		}
+	}
+	wanted := 0
+	for i := range d.Services {
+		wanted += d.Services[i].Feeds
+	}
+	if r.Feeds.Long < int(float64(wanted)*r.minService) {
+		r.violate(PromiseService, "only %d of %d long feeds opened", r.Feeds.Long, wanted)
+	}
+}
+
+// imbalance returns maximum over mean across the servers of a service that were
+// in ordinary service for the whole run.
+func imbalance(d *deployment.Deployment, records []backend.Record) map[string]float64 {
+	result := map[string]float64{}
+	for i := range d.Services {
+		var flows, requests []int
+		for j := range records {
+			if records[j].Service == d.Services[i].Name && records[j].Steady {
+				flows = append(flows, records[j].Flows.MaxOpen)
+				requests = append(requests, records[j].Requests.Completed)
+			}
+		}
+		if v := maxOverMean(flows); v > 0 {
+			result[fmt.Sprintf("%s/flows", d.Services[i].Name)] = v
+		}
+		if v := maxOverMean(requests); v > 0 {
+			result[fmt.Sprintf("%s/requests", d.Services[i].Name)] = v
+		}
+	}
+	return result
+}
+
+func maxOverMean(values []int) float64 {
+	sum := 0
+	for _, v := range values {
+		sum += v
+	}
+	if sum == 0 {
+		return 0
+	}
+	return float64(slices.Max(values)) * float64(len(values)) / float64(sum)
+}
--- /dev/null
+++ b/internal/standin/load/report.go
@@ -0,0 +1,184 @@
+package load
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"time"
+)
+
+// Names of the promises, as in design section 2, and of the further checks.
+const (
+	PromisePlannedChange  = "PlannedChange"
+	PromiseNoCrossService = "NoCrossService"
+	PromiseColdStart      = "ColdStart"
+	PromiseZoneWithdrawn  = "ZoneWithdrawn"
+	PromiseWholeAnswer    = "WholeAnswer"
+	PromiseNotRun         = "NotRun"
+	PromiseAtMostOnce     = "AtMostOnce"
+	PromiseLeavingServer  = "LeavingServer"
+	PromiseLostWork       = "LostWork"
+	PromiseConnections    = "Connections"
+	PromiseService        = "Service"
+)
+
+var promises = []string{PromisePlannedChange, PromiseNoCrossService, PromiseColdStart, PromiseZoneWithdrawn,
+	PromiseWholeAnswer, PromiseNotRun, PromiseAtMostOnce, PromiseLeavingServer, PromiseLostWork, PromiseConnections,
+	PromiseService}
+
+// maxExamples bounds the examples of each broken promise in the report.
+const maxExamples = 5
+
+// Violations of one promise.
+type Violations struct {
+	Count    int      `json:"count"`
+	Examples []string `json:"examples,omitempty"`
+}
+
+// Feeds sums up the feeds.
+type Feeds struct {
+	Opened   int `json:"opened"`
+	Long     int `json:"long"`
+	Refused  int `json:"refused"`
+	Messages int `json:"messages"`
+	// Excused feeds ended with their server or their zone.
+	Excused int            `json:"excused"`
+	Broken  map[string]int `json:"broken"`
+	// LongestGapMs is the longest time between two messages of an unbroken feed.
+	LongestGapMs int64 `json:"longest_gap_ms"`
+}
+
+// Class sums up the operations of a service and class.
+type Class struct {
+	Started       int            `json:"started"`
+	Transmissions int            `json:"transmissions"`
+	Completed     int            `json:"completed"`
+	InTime        int            `json:"in_time"`
+	NotRun        int            `json:"not_run"`
+	Unknown       int            `json:"unknown"`
+	UnknownRan    int            `json:"unknown_ran"`
+	Reasons       map[string]int `json:"reasons"`
+	// LatencyMs holds the percentiles of completed operations.
+	LatencyMs map[string]float64 `json:"latency_ms"`
+}
+
+// Servers sums up what backend servers saw, without a verdict.
+type Servers struct {
+	Malformed int `json:"malformed"`
+	Shed      int `json:"shed"`
+	Cancelled int `json:"cancelled"`
+	Expired   int `json:"expired"`
+	Surprised int `json:"surprised"`
+}
+
+// Report is the result of a run.
+type Report struct {
+	Deployment string                `json:"deployment"`
+	Seed       uint64                `json:"seed"`
+	Seconds    float64               `json:"seconds"`
+	Passed     bool                  `json:"passed"`
+	Promises   map[string]Violations `json:"promises"`
+	Feeds      Feeds                 `json:"feeds"`
+	Classes    map[string]*Class     `json:"classes"`
+	Servers    Servers               `json:"servers"`
+	Imbalance  map[string]float64    `json:"imbalance"`
+	// Service is the share of operations answered in time, by second of their start.
+	Service map[string][]float64 `json:"service_per_second"`
+
+	start      time.Time
+	minService float64
+}
+
+func newReport(options Options, l *ledger) *Report {
+	r := &Report{Deployment: options.Deployment, Seed: options.Seed, Seconds: options.Duration.Seconds(),
+		Promises: map[string]Violations{}, Classes: map[string]*Class{}, Service: map[string][]float64{},
+		Feeds: Feeds{Broken: map[string]int{}}, start: l.start, minService: options.MinService}
+	for name, seconds := range l.seconds {
+		for _, s := range seconds {
+			r.Service[name] = append(r.Service[name], float64(s.inTime)/float64(max(1, s.started)))
+		}
+	}
+	for name, histogram := range l.latency {
+		percentiles := map[string]float64{"max": float64(histogram.Max()) / 1000}
+		for _, p := range []float64{0.5, 0.95, 0.99} {
+			percentiles[fmt.Sprintf("p%.0f", 100*p)] = histogram.Percentile(p) / 1000
+		}
+		r.class(name).LatencyMs = percentiles
+	}
+	return r
+}
+
+func (r *Report) class(name string) *Class {
+	if r.Classes[name] == nil {
+		r.Classes[name] = &Class{Reasons: map[string]int{}}
+	}
+	return r.Classes[name]
+}
+
+func (r *Report) violate(promise, format string, args ...any) {
+	r.violateTimes(promise, 1, format, args...)
+}
+
+func (r *Report) violateTimes(promise string, n int, format string, args ...any) {
+	v := r.Promises[promise]
+	v.Count += n
+	if len(v.Examples) < maxExamples {
+		v.Examples = append(v.Examples, fmt.Sprintf(format, args...))
+	}
+	r.Promises[promise] = v
+}
+
+// summarize sets the verdict. Flows may break when an instance crashes, which is
+// no planned change.
+func (r *Report) summarize(options Options) {
+	r.Passed = true
+	for promise, v := range r.Promises {
+		if v.Count > 0 && !(promise == PromisePlannedChange && options.Unplanned) {
+			r.Passed = false
+		}
+	}
+}
+
+// Write prints the readable summary.
+func (r *Report) Write(w io.Writer) {
+	fmt.Fprintf(w, "%s, seed %d, %.0f s\n", r.Deployment, r.Seed, r.Seconds)
+	fmt.Fprintf(w, "  feeds: %d opened (%d long), %d refused, %d messages, %d ended with their server or zone, broken %v, longest gap %d ms\n",
+		r.Feeds.Opened, r.Feeds.Long, r.Feeds.Refused, r.Feeds.Messages, r.Feeds.Excused, r.Feeds.Broken, r.Feeds.LongestGapMs)
+	for _, name := range sortedKeys(r.Classes) {
+		c := r.Classes[name]
+		fmt.Fprintf(w, "  %s: %d started, %d completed (%d in time), %d not run, %d unknown (%d ran), %d transmissions, p50 %.1f p99 %.1f max %.1f ms\n",
+			name, c.Started, c.Completed, c.InTime, c.NotRun, c.Unknown, c.UnknownRan, c.Transmissions,
+			c.LatencyMs["p50"], c.LatencyMs["p99"], c.LatencyMs["max"])
+		for _, reason := range sortedKeys(c.Reasons) {
+			fmt.Fprintf(w, "    %s: %d\n", reason, c.Reasons[reason])
+		}
+	}
+	for _, name := range sortedKeys(r.Service) {
+		fmt.Fprintf(w, "  %s answered in time, %% per second: %s\n", name, percentages(r.Service[name]))
+	}
+	for _, name := range sortedKeys(r.Imbalance) {
+		fmt.Fprintf(w, "  imbalance %s: %.2f\n", name, r.Imbalance[name])
+	}
+	fmt.Fprintf(w, "  servers: %d shed, %d cancelled, %d past deadline, %d above capacity after turning cold without warning, %d malformed packets\n",
+		r.Servers.Shed, r.Servers.Cancelled, r.Servers.Expired, r.Servers.Surprised, r.Servers.Malformed)
+	for _, promise := range promises {
+		v := r.Promises[promise]
+		fmt.Fprintf(w, "  promise %-15s %d broken\n", promise, v.Count)
+		for _, example := range v.Examples {
+			fmt.Fprintf(w, "    %s\n", example)
+		}
+	}
+	if r.Passed {
+		fmt.Fprintln(w, "  verdict: passed")
+	} else {
+		fmt.Fprintln(w, "  verdict: FAILED")
+	}
+}
+
+func percentages(shares []float64) string {
+	var b strings.Builder
+	for _, s := range shares {
+		fmt.Fprintf(&b, "%.0f ", 100*s)
+	}
+	return strings.TrimSpace(b.String())
+}
--- /dev/null
+++ b/internal/standin/wire/documents.go
@@ -0,0 +1,108 @@
+package wire
+
+import "github.com/cespare/xxhash/v2"
+
+// Instance is an entry of the platform's instance list.
+type Instance struct {
+	ID             string `json:"id"`
+	Zone           string `json:"zone"`
+	State          string `json:"state"`
+	FlowAddress    string `json:"flow_address"`
+	PeerAddress    string `json:"peer_address"`
+	RequestAddress string `json:"request_address"`
+}
+
+// InstanceList is the platform's list of live and leaving instances.
+type InstanceList struct {
+	Instances []Instance `json:"instances"`
+}
+
+// Kind is a request kind in a release note.
+type Kind struct {
+	Name         string `json:"name"`
+	Method       string `json:"method"`
+	PathPrefix   string `json:"path_prefix"`
+	Idempotent   bool   `json:"idempotent"`
+	Class        string `json:"class"`
+	SharePercent int    `json:"share_percent"`
+}
+
+// Service is a service in a release note.
+type Service struct {
+	ID               uint32 `json:"id"`
+	Name             string `json:"name"`
+	Tenant           string `json:"tenant"`
+	Host             string `json:"host"`
+	VirtualAddress   string `json:"virtual_address"`
+	IdleTimeoutMs    int    `json:"idle_timeout_ms"`
+	RequestTimeoutMs int    `json:"request_timeout_ms"`
+	MaxBodyBytes     int64  `json:"max_body_bytes"`
+	Kinds            []Kind `json:"kinds"`
+}
+
+// Server is a backend server in a release note.
+type Server struct {
+	ID             string `json:"id"`
+	Service        string `json:"service"`
+	Zone           string `json:"zone"`
+	Weight         int    `json:"weight"`
+	Slots          int    `json:"slots"`
+	Connections    int    `json:"connections"`
+	State          string `json:"state"`
+	FlowAddress    string `json:"flow_address"`
+	RequestAddress string `json:"request_address"`
+}
+
+// Changes lists what a release note adds or changes.
+type Changes struct {
+	Zones    []string  `json:"zones,omitempty"`
+	Services []Service `json:"services,omitempty"`
+	Servers  []Server  `json:"servers,omitempty"`
+}
+
+// Names lists what a release note withdraws.
+type Names struct {
+	Zones    []string `json:"zones,omitempty"`
+	Services []string `json:"services,omitempty"`
+	Servers  []string `json:"servers,omitempty"`
+}
+
+// Note is a release note.
+type Note struct {
+	Format    int     `json:"format"`
+	Version   uint64  `json:"version"`
+	Base      uint64  `json:"base"`
+	Added     Changes `json:"added"`
+	Changed   Changes `json:"changed"`
+	Withdrawn Names   `json:"withdrawn"`
+}
+
+// Latest is the value of the key release/latest.
+type Latest struct {
+	Version uint64 `json:"version"`
+	Digest  string `json:"digest"`
+}
+
+// Answer is the body of a backend server's answer. Digest covers the whole
+// request, so that a caller notices an answer to another request.
+type Answer struct {
+	Digest string `json:"digest"`
+	Server string `json:"server"`
+	Pad    string `json:"pad"`
+}
+
+// RequestDigest hashes what identifies a request to its backend server. The
+// digest of the body is a separate argument because bodies are streamed.
+func RequestDigest(host, method, uri, key string, body uint64) uint64 {
+	d := xxhash.New()
+	for _, part := range []string{host, method, uri, key} {
+		_, _ = d.WriteString(part)
+		_, _ = d.Write([]byte{0})
+	}
+	var b [8]byte
+	for i := range b {
+		b[i] = byte(body >> (8 * i))
+	}
+	_, _ = d.Write(b[:])
+	return d.Sum64()
+}
