--- a/cmd/savorystub/main.go
+++ b/cmd/savorystub/main.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"strings"
 	"syscall"
 	"time"
 
@@ -60,12 +61,13 @@
 type callCommand struct {
 	Method string `arg:""`
 	URL    string `arg:""`
-	Data   string `help:"File with the body."`
+	Data   string `help:"File with the body." xor:"body"`
+	Body   string `help:"Text of the body." xor:"body"`
 }
 
 // Run exists so that scripts need no HTTP client of the machine.
 func (c *callCommand) Run(ctx context.Context) error {
-	var body io.Reader
+	var body io.Reader = strings.NewReader(c.Body)
 	if c.Data != "" {
 		file, err := os.Open(c.Data)
 		if err != nil {
--- a/internal/standin/backend/fleet.go
+++ b/internal/standin/backend/fleet.go
@@ -4,6 +4,8 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"slices"
+	"strconv"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -18,14 +20,18 @@
 	reply                 chan error
 }
 
-type addEvent struct {
-	service string
-	reply   chan addReply
+// noteEvent asks for a release note with the named changes. The servers'
+// conditions change with it, so that records and note agree on when.
+type noteEvent struct {
+	version uint64
+	// add names services that get one more server; the others name servers and zones.
+	add, drain, withdraw, zoneOut, zoneIn []string
+	reply                                 chan noteReply
 }
 
-type addReply struct {
-	document wire.Server
-	err      error
+type noteReply struct {
+	note *wire.Note
+	err  error
 }
 
 type serversEvent struct{ reply chan []*Server }
@@ -82,10 +88,10 @@
 		case e := <-f.events:
 			switch e := e.(type) {
 			case commandEvent:
-				e.reply <- f.command(e)
-			case addEvent:
-				document, err := f.add(ctx, e.service)
-				e.reply <- addReply{document, err}
+				e.reply <- f.command(e.server, e.zone, e.command)
+			case noteEvent:
+				note, err := f.note(ctx, e)
+				e.reply <- noteReply{note, err}
 			case serversEvent:
 				e.reply <- append([]*Server{}, f.servers...)
 			}
@@ -93,21 +99,58 @@
 	}
 }
 
-func (f *Fleet) command(e commandEvent) error {
+// note builds the release note that follows the given changes.
+func (f *Fleet) note(ctx context.Context, e noteEvent) (*wire.Note, error) {
+	note := &wire.Note{Format: 1, Version: e.version, Base: e.version - 1}
+	note.Withdrawn = wire.Names{Zones: e.zoneOut, Servers: e.withdraw}
+	note.Added.Zones = e.zoneIn
+	for _, service := range e.add {
+		document, err := f.add(ctx, service)
+		if err != nil {
+			return nil, err
+		}
+		note.Added.Servers = append(note.Added.Servers, document)
+	}
+	for _, id := range append(slices.Clone(e.drain), e.withdraw...) {
+		if err := f.command(id, "", "drain"); err != nil {
+			return nil, err
+		}
+	}
+	for _, server := range f.servers {
+		if slices.Contains(e.drain, server.Document.ID) {
+			document := server.Document
+			document.State = "draining"
+			note.Changed.Servers = append(note.Changed.Servers, document)
+		}
+	}
+	for _, zone := range e.zoneOut {
+		if err := f.command("", zone, "zone-out"); err != nil {
+			return nil, err
+		}
+	}
+	for _, zone := range e.zoneIn {
+		if err := f.command("", zone, "zone-in"); err != nil {
+			return nil, err
+		}
+	}
+	return note, nil
+}
+
+func (f *Fleet) command(id, zone, command string) error {
 	matched := 0
 	for _, server := range f.servers {
-		if e.server != "" && server.Document.ID != e.server || e.zone != "" && server.Document.Zone != e.zone {
+		if id != "" && server.Document.ID != id || zone != "" && server.Document.Zone != zone {
 			continue
 		}
 		matched++
-		next, err := server.conditions.load().apply(e.command, time.Now())
+		next, err := server.conditions.load().apply(command, time.Now())
 		if err != nil {
 			return err
 		}
 		server.conditions.current.Store(&next)
 	}
 	if matched == 0 {
-		return merry.Errorf("no server matches server %q, zone %q", e.server, e.zone)
+		return merry.Errorf("no server matches server %q, zone %q", id, zone)
 	}
 	return nil
 }
@@ -154,15 +197,23 @@
 			http.Error(w, err.Error(), http.StatusBadRequest)
 		}
 	})
-	mux.HandleFunc("POST /add", func(w http.ResponseWriter, r *http.Request) {
-		reply := make(chan addReply, 1)
-		f.events <- addEvent{r.FormValue("service"), reply}
-		added := <-reply
-		if added.err != nil {
-			http.Error(w, added.err.Error(), http.StatusBadRequest)
-			return
-		}
-		_ = json.NewEncoder(w).Encode(added.document)
-	})
+	mux.HandleFunc("POST /note", f.serveNote)
 	return mux
 }
+
+func (f *Fleet) serveNote(w http.ResponseWriter, r *http.Request) {
+	version, err := strconv.ParseUint(r.FormValue("version"), 10, 64)
+	if err != nil || version < 2 {
+		http.Error(w, "version: must be a number above 1", http.StatusBadRequest)
+		return
+	}
+	reply := make(chan noteReply, 1)
+	f.events <- noteEvent{version: version, add: r.Form["add"], drain: r.Form["drain"], withdraw: r.Form["withdraw"],
+		zoneOut: r.Form["zone_out"], zoneIn: r.Form["zone_in"], reply: reply}
+	built := <-reply
+	if built.err != nil {
+		http.Error(w, built.err.Error(), http.StatusBadRequest)
+		return
+	}
+	_ = json.NewEncoder(w).Encode(built.note)
+}
