--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -10,7 +10,6 @@
 root=$(mktemp -d "${TMPDIR:-/tmp}/savorytiller-demo.XXXXXX")
 # shellcheck source=scripts/fleet.sh
 . scripts/fleet.sh
-trap end_all EXIT
 
 run_deployment() { # NAME ADDED-SERVICE DRAINED-SERVER WITHDRAWN-SERVER ZONES...
   name=$1
@@ -31,15 +30,14 @@
   start_instance "${zones[0]}-9" "${zones[0]}"
   wait_ready "${zones[0]}-9"
   leave "${instances[0]}" "${zones[0]}"
-  local status=0
-  finish_load || status=$?
-  end_all
-  return "$status"
+  finish_load
 }
 
 failed=0
-run_deployment dosenfalz line-control line-03 image-04 halle-a halle-b halle-c qs-labor || failed=1
-run_deployment mandi price price-03 tally-04 pkc-a pkc-b pkc-c || failed=1
+run_isolated run_deployment dosenfalz line-control line-03 image-04 halle-a halle-b halle-c qs-labor
+[ "$status" = 0 ] || failed=1
+run_isolated run_deployment mandi price price-03 tally-04 pkc-a pkc-b pkc-c
+[ "$status" = 0 ] || failed=1
 if [ "$failed" != 0 ]; then
   echo "demo: FAILED, logs are in $root" >&2
   exit 1
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -25,6 +25,23 @@
   pids=()
 }
 
+# run_isolated COMMAND... runs a function in a process of its own that ends what
+# it started, and sets `status`. The function runs outside any condition, in
+# which bash would ignore `set -e`.
+run_isolated() {
+  (
+    set -e
+    trap end_all EXIT
+    trap 'exit 143' TERM
+    "$@"
+  ) &
+  local child=$!
+  trap 'kill -TERM "$child"; wait "$child"; exit 143' INT TERM
+  status=0
+  wait "$child" || status=$?
+  trap - INT TERM
+}
+
 fail() {
   echo "$*" >&2
   exit 1
