--- /dev/null
+++ b/internal/standin/backend/fleet.go
@@ -0,0 +1,219 @@
+package backend
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/savorytiller/savorytiller/internal/standin/deployment"
+	"github.com/savorytiller/savorytiller/internal/standin/wire"
+)
+
+// commandEvent changes the condition of the servers that match.
+type commandEvent struct {
+	server, zone, command string
+	reply                 chan error
+}
+
+// noteEvent asks for a release note with the named changes. The servers'
+// conditions change with it, so that records and note agree on when.
+type noteEvent struct {
+	version uint64
+	// add names services that get one more server; the others name servers and zones.
+	add, drain, withdraw, zoneOut, zoneIn []string
+	reply                                 chan noteReply
+}
+
+type noteReply struct {
+	note *wire.Note
+	err  error
+}
+
+type serversEvent struct{ reply chan []*Server }
+
+// Fleet is the set of servers in this process. Its control goroutine owns the
+// set and is the only one that publishes conditions.
+type Fleet struct {
+	deployment *deployment.Deployment
+	seed       uint64
+	servers    []*Server
+	events     chan any
+}
+
+// NewFleet starts the servers of a deployment.
+func NewFleet(ctx context.Context, d *deployment.Deployment, seed uint64) (*Fleet, error) {
+	f := &Fleet{deployment: d, seed: seed, events: make(chan any, 64)}
+	for i := range d.Services {
+		for _, document := range d.ServerDocuments(&d.Services[i]) {
+			if err := f.start(ctx, &d.Services[i], document); err != nil {
+				return nil, err
+			}
+		}
+	}
+	return f, nil
+}
+
+func (f *Fleet) start(ctx context.Context, service *deployment.Service, document wire.Server) error {
+	server, err := Start(ctx, service, document, f.seed+uint64(len(f.servers)))
+	if err != nil {
+		return err
+	}
+	f.servers = append(f.servers, server)
+	return nil
+}
+
+// Note returns the first release note: the complete configuration.
+func (f *Fleet) Note() *wire.Note {
+	note := &wire.Note{Format: 1, Version: 1}
+	for i := range f.deployment.Services {
+		note.Added.Services = append(note.Added.Services, f.deployment.Services[i].ServiceDocument())
+	}
+	for _, server := range f.servers {
+		note.Added.Servers = append(note.Added.Servers, server.Document)
+	}
+	return note
+}
+
+// Run is the control goroutine. It returns when the context ends.
+func (f *Fleet) Run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case e := <-f.events:
+			switch e := e.(type) {
+			case commandEvent:
+				e.reply <- f.command(e.server, e.zone, e.command)
+			case noteEvent:
+				note, err := f.note(ctx, e)
+				e.reply <- noteReply{note, err}
+			case serversEvent:
+				e.reply <- append([]*Server{}, f.servers...)
+			}
+		}
+	}
+}
+
+// note builds the release note that follows the given changes.
+func (f *Fleet) note(ctx context.Context, e noteEvent) (*wire.Note, error) {
+	note := &wire.Note{Format: 1, Version: e.version, Base: e.version - 1}
+	note.Withdrawn = wire.Names{Zones: e.zoneOut, Servers: e.withdraw}
+	note.Added.Zones = e.zoneIn
+	for _, service := range e.add {
+		document, err := f.add(ctx, service)
+		if err != nil {
+			return nil, err
+		}
+		note.Added.Servers = append(note.Added.Servers, document)
+	}
+	for _, id := range append(slices.Clone(e.drain), e.withdraw...) {
+		if err := f.command(id, "", "drain"); err != nil {
+			return nil, err
+		}
+	}
+	for _, server := range f.servers {
+		if slices.Contains(e.drain, server.Document.ID) {
+			document := server.Document
+			document.State = "draining"
+			note.Changed.Servers = append(note.Changed.Servers, document)
+		}
+	}
+	for _, zone := range e.zoneOut {
+		if err := f.command("", zone, "zone-out"); err != nil {
+			return nil, err
+		}
+	}
+	for _, zone := range e.zoneIn {
+		if err := f.command("", zone, "zone-in"); err != nil {
+			return nil, err
+		}
+	}
+	return note, nil
+}
+
+func (f *Fleet) command(id, zone, command string) error {
+	matched := 0
+	for _, server := range f.servers {
+		if id != "" && server.Document.ID != id || zone != "" && server.Document.Zone != zone {
+			continue
+		}
+		matched++
+		next, err := server.conditions.load().apply(command, time.Now())
+		if err != nil {
+			return err
+		}
+		server.conditions.current.Store(&next)
+	}
+	if matched == 0 {
+		return merry.Errorf("no server matches server %q, zone %q", id, zone)
+	}
+	return nil
+}
+
+// add starts one more server of a service. It starts cold.
+func (f *Fleet) add(ctx context.Context, name string) (wire.Server, error) {
+	for i := range f.deployment.Services {
+		service := &f.deployment.Services[i]
+		if service.Name != name {
+			continue
+		}
+		index := 0
+		for _, server := range f.servers {
+			if server.service == service {
+				index++
+			}
+		}
+		if err := f.start(ctx, service, f.deployment.Server(service, index)); err != nil {
+			return wire.Server{}, err
+		}
+		added := f.servers[len(f.servers)-1]
+		added.conditions.current.Store(&Condition{Cold: time.Now(), Announced: true})
+		return added.Document, nil
+	}
+	return wire.Server{}, merry.Errorf("unknown service %q", name)
+}
+
+// Handler serves the control endpoint of the fleet.
+func (f *Fleet) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /records", func(w http.ResponseWriter, _ *http.Request) {
+		reply := make(chan []*Server, 1)
+		f.events <- serversEvent{reply}
+		var records []Record
+		for _, server := range <-reply {
+			records = append(records, server.Record())
+		}
+		_ = json.NewEncoder(w).Encode(records)
+	})
+	mux.HandleFunc("POST /command", func(w http.ResponseWriter, r *http.Request) {
+		reply := make(chan error, 1)
+		f.events <- commandEvent{r.FormValue("server"), r.FormValue("zone"), r.FormValue("do"), reply}
+		if err := <-reply; err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+		}
+	})
+	mux.HandleFunc("POST /note", f.serveNote)
+	return mux
+}
+
+func (f *Fleet) serveNote(w http.ResponseWriter, r *http.Request) {
+	version, err := strconv.ParseUint(r.FormValue("version"), 10, 64)
+	if err != nil || version < 2 {
+		http.Error(w, "version: must be a number above 1", http.StatusBadRequest)
+		return
+	}
+	reply := make(chan noteReply, 1)
+	f.events <- noteEvent{version: version, add: r.Form["add"], drain: r.Form["drain"], withdraw: r.Form["withdraw"],
+		zoneOut: r.Form["zone_out"], zoneIn: r.Form["zone_in"], reply: reply}
+	built := <-reply
+	if built.err != nil {
+		http.Error(w, built.err.Error(), http.StatusBadRequest)
+		return
+	}
+	_ = json.NewEncoder(w).Encode(built.note)
+}
