--- /dev/null
+++ b/internal/adapter/metrics/metrics.go
@@ -0,0 +1,204 @@
+// Package metrics counts decisions by part and reason, keeps a histogram of
+// each measured duration per tenant and class, and holds the last decisions.
+package metrics
+
+import (
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	gometrics "github.com/rcrowley/go-metrics"
+
+	"github.com/savorytiller/savorytiller/internal/core/model"
+	"github.com/savorytiller/savorytiller/internal/port"
+)
+
+// Limits that keep the memory of the recorder bounded.
+const (
+	// sampleSize is the number of values that a histogram keeps. 512 values
+	// give the 99th percentile from about five values, in 8 kB.
+	sampleSize = 512
+	// sampleAlpha weights the sample towards the last minutes, as in the
+	// go-metrics examples.
+	sampleAlpha = 0.015
+	// maxHistograms bounds the histograms of a process. Further tenants and
+	// classes share one histogram with the name overflowName.
+	maxHistograms = 512
+	overflowName  = "other"
+)
+
+// Recorder implements port.Recorder on a go-metrics registry.
+type Recorder struct {
+	registry gometrics.Registry
+	counters sync.Map // part name to *[]gometrics.Counter, indexed by reason
+
+	mu         sync.Mutex // guards histograms
+	histograms map[histogramKey]gometrics.Histogram
+
+	ring ring
+}
+
+type histogramKey struct{ metric, tenant, class string }
+
+var _ port.Recorder = (*Recorder)(nil)
+
+// New returns a recorder that keeps the last capacity decisions.
+func New(capacity int) *Recorder {
+	return &Recorder{
+		registry:   gometrics.NewRegistry(),
+		histograms: map[histogramKey]gometrics.Histogram{},
+		ring:       ring{entries: make([]port.Decision, capacity)},
+	}
+}
+
+// Count adds one to the counter of a reason within a part.
+func (r *Recorder) Count(part string, reason model.Reason) {
+	counters, ok := r.counters.Load(part)
+	if !ok {
+		counters = r.addPart(part)
+	}
+	all := counters.([]gometrics.Counter)
+	if int(reason) < len(all) {
+		all[reason].Inc(1)
+	}
+}
+
+// addPart registers one counter for each reason of a part.
+func (r *Recorder) addPart(part string) any {
+	reasons := model.Reasons()
+	counters := make([]gometrics.Counter, len(reasons))
+	for i, reason := range reasons {
+		name := part + "." + reason.String()
+		counters[i] = r.registry.GetOrRegister(name, gometrics.NewCounter).(gometrics.Counter)
+	}
+	actual, _ := r.counters.LoadOrStore(part, counters)
+	return actual
+}
+
+// Observe adds a duration to the histogram of a metric for a tenant and class.
+func (r *Recorder) Observe(metric, tenant, class string, d time.Duration) {
+	r.histogram(histogramKey{metric, tenant, class}).Update(int64(d))
+}
+
+func (r *Recorder) histogram(key histogramKey) gometrics.Histogram {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if h, ok := r.histograms[key]; ok {
+		return h
+	}
+	if len(r.histograms) >= maxHistograms {
+		key = histogramKey{key.metric, overflowName, overflowName}
+		if h, ok := r.histograms[key]; ok {
+			return h
+		}
+		// A new metric name past the limit shares the histogram of the metric overflowName.
+		if len(r.histograms) >= 2*maxHistograms {
+			key.metric = overflowName
+			if h, ok := r.histograms[key]; ok {
+				return h
+			}
+		}
+	}
+	h := gometrics.NewHistogram(gometrics.NewExpDecaySample(sampleSize, sampleAlpha))
+	r.histograms[key] = h
+	return h
+}
+
+// Decision keeps one decision; the oldest one is dropped.
+func (r *Recorder) Decision(d port.Decision) { r.ring.add(d) }
+
+// Decisions returns the kept decisions, oldest first.
+func (r *Recorder) Decisions() []port.Decision { return r.ring.list() }
+
+// Counter is the value of one counter.
+type Counter struct {
+	Part   string `json:"part"`
+	Reason string `json:"reason"`
+	Count  int64  `json:"count"`
+}
+
+// Histogram summarizes the durations of a metric for a tenant and class.
+type Histogram struct {
+	Metric string  `json:"metric"`
+	Tenant string  `json:"tenant"`
+	Class  string  `json:"class"`
+	Count  int64   `json:"count"`
+	MeanMs float64 `json:"mean_ms"`
+	P50Ms  float64 `json:"p50_ms"`
+	P95Ms  float64 `json:"p95_ms"`
+	P99Ms  float64 `json:"p99_ms"`
+	MaxMs  float64 `json:"max_ms"`
+}
+
+// Snapshot is the state of all metrics at one time.
+type Snapshot struct {
+	Counters   []Counter   `json:"counters"`
+	Histograms []Histogram `json:"histograms"`
+}
+
+// Snapshot returns the counters that are not zero and all histograms, sorted.
+func (r *Recorder) Snapshot() Snapshot {
+	out := Snapshot{Counters: []Counter{}, Histograms: []Histogram{}}
+	r.registry.Each(func(name string, value any) {
+		counter, ok := value.(gometrics.Counter)
+		if !ok || counter.Count() == 0 {
+			return
+		}
+		dot := strings.LastIndexByte(name, '.')
+		out.Counters = append(out.Counters, Counter{Part: name[:dot], Reason: name[dot+1:], Count: counter.Count()})
+	})
+	sort.Slice(out.Counters, func(i, j int) bool {
+		a, b := out.Counters[i], out.Counters[j]
+		return a.Part < b.Part || a.Part == b.Part && a.Reason < b.Reason
+	})
+	r.mu.Lock()
+	for key, h := range r.histograms {
+		out.Histograms = append(out.Histograms, summarize(key, h.Snapshot()))
+	}
+	r.mu.Unlock()
+	sort.Slice(out.Histograms, func(i, j int) bool {
+		a, b := out.Histograms[i], out.Histograms[j]
+		return a.Metric+"\x00"+a.Tenant+"\x00"+a.Class < b.Metric+"\x00"+b.Tenant+"\x00"+b.Class
+	})
+	return out
+}
+
+func summarize(key histogramKey, h gometrics.Histogram) Histogram {
+	const ms = float64(time.Millisecond)
+	p := h.Percentiles([]float64{0.5, 0.95, 0.99})
+	return Histogram{
+		Metric: key.metric, Tenant: key.tenant, Class: key.class, Count: h.Count(),
+		MeanMs: h.Mean() / ms, P50Ms: p[0] / ms, P95Ms: p[1] / ms, P99Ms: p[2] / ms, MaxMs: float64(h.Max()) / ms,
+	}
+}
+
+// ring holds the last decisions.
+type ring struct {
+	mu      sync.Mutex
+	entries []port.Decision
+	next    int
+	full    bool
+}
+
+func (r *ring) add(d port.Decision) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.entries) == 0 {
+		return
+	}
+	r.entries[r.next] = d
+	r.next++
+	if r.next == len(r.entries) {
+		r.next, r.full = 0, true
+	}
+}
+
+func (r *ring) list() []port.Decision {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.full {
+		return append([]port.Decision{}, r.entries[:r.next]...)
+	}
+	return append(append([]port.Decision{}, r.entries[r.next:]...), r.entries[:r.next]...)
+}
--- /dev/null
+++ b/internal/adapter/metrics/metrics_test.go
@@ -0,0 +1,78 @@
+package metrics
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/savorytiller/savorytiller/internal/core/model"
+	"github.com/savorytiller/savorytiller/internal/port"
+)
+
+// Guards against a list of decisions that grows with traffic, and against one
+// that loses the order or the newest entries when it wraps.
+func TestDecisionsAreBoundedAndInOrder(t *testing.T) {
+	r := New(4)
+	require.Empty(t, r.Decisions())
+	for i := range 11 {
+		r.Decision(port.Decision{At: model.Time(i)})
+		got := r.Decisions()
+		require.Len(t, got, min(i+1, 4))
+		for j, d := range got {
+			require.Equal(t, model.Time(i-len(got)+1+j), d.At)
+		}
+	}
+}
+
+// Guards against two parts or reasons that share a counter, and against lost
+// counts when several threads create the same part.
+func TestCountsByPartAndReason(t *testing.T) {
+	r := New(1)
+	var wg sync.WaitGroup
+	for range 8 {
+		wg.Go(func() {
+			for range 100 {
+				r.Count("flow", model.ReasonIdle)
+			}
+		})
+	}
+	wg.Wait()
+	r.Count("request", model.ReasonIdle)
+	r.Count("request", model.ReasonShed)
+	require.Equal(t, []Counter{
+		{"flow", "idle", 800}, {"request", "idle", 1}, {"request", "shed", 1},
+	}, r.Snapshot().Counters)
+}
+
+// Guards against durations that appear under another tenant or class.
+func TestHistogramsPerTenantAndClass(t *testing.T) {
+	r := New(1)
+	r.Observe("request", "dosenfalz", "writes", 10*time.Millisecond)
+	r.Observe("request", "dosenfalz", "writes", 30*time.Millisecond)
+	r.Observe("request", "mandi", "writes", time.Second)
+	got := r.Snapshot().Histograms
+	require.Len(t, got, 2)
+	require.Equal(t, "dosenfalz", got[0].Tenant)
+	require.EqualValues(t, 2, got[0].Count)
+	require.InDelta(t, 20, got[0].MeanMs, 0.001)
+	require.InDelta(t, 30, got[0].MaxMs, 0.001)
+	require.InDelta(t, 1000, got[1].P99Ms, 0.001)
+}
+
+// Guards against memory that grows with the number of tenants or metrics.
+func TestHistogramsAreBounded(t *testing.T) {
+	r := New(1)
+	for i := range 4 * maxHistograms {
+		r.Observe(fmt.Sprint("metric", i), fmt.Sprint("tenant", i), "class", time.Millisecond)
+	}
+	total := int64(0)
+	all := r.Snapshot().Histograms
+	for _, h := range all {
+		total += h.Count
+	}
+	require.LessOrEqual(t, len(all), 2*maxHistograms+1)
+	require.EqualValues(t, 4*maxHistograms, total, "a value of a tenant past the limit is counted elsewhere, not lost")
+}
