Add settings, socket set-up and the thin savorytillerd

Settings come from TOML and are checked whole: every wrong value, unknown key and contradiction is reported at once with file, key and allowed range.

--- /dev/null
+++ b/cmd/savorytillerd/main.go
@@ -0,0 +1,65 @@
+// Command savorytillerd is the entry instance of the load balancer.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+
+	"github.com/savorytiller/savorytiller/internal/adapter/settings"
+	"github.com/savorytiller/savorytiller/internal/app"
+)
+
+// Exit codes besides 0.
+const (
+	exitFailed   = 1
+	exitSettings = 2
+)
+
+type flags struct {
+	Config        string `help:"Settings file (TOML)." required:"" type:"existingfile" placeholder:"FILE"`
+	Check         bool   `help:"Check the settings, print every problem and exit without opening a socket."`
+	AddressesFile string `help:"Write the listening addresses as JSON to this file once the sockets are open." placeholder:"FILE"`
+}
+
+func main() {
+	var f flags
+	kong.Parse(&f, kong.Name("savorytillerd"),
+		kong.Description("Entry instance of the savorytiller layer-4 load balancer. "+
+			"SIGTERM starts a graceful shutdown; a second one ends the process at once."))
+	os.Exit(run(f))
+}
+
+func run(f flags) int {
+	s, err := settings.Load(f.Config)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitSettings
+	}
+	if f.Check {
+		fmt.Printf("%s: settings of instance %s are valid\n", f.Config, s.Instance.ID)
+		return 0
+	}
+	instance, err := app.New(s, os.Stderr)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitFailed
+	}
+	if f.AddressesFile != "" {
+		if err := instance.Addresses().Write(f.AddressesFile); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			return exitFailed
+		}
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	if err := instance.Run(ctx); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitFailed
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/adapter/settings/fields.go
@@ -0,0 +1,129 @@
+package settings
+
+import (
+	"fmt"
+	"math"
+	"net/netip"
+	"net/url"
+	"regexp"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/savorytiller/savorytiller/internal/core/model"
+)
+
+// field describes one key: where its value goes and what is allowed.
+type field struct {
+	key      string
+	allowed  string
+	required bool
+	// byDefault is the TOML value of a key that is not in the file; nil leaves
+	// the zero value.
+	byDefault any
+	// set stores a value and reports whether it is allowed.
+	set func(s *Settings, value any) bool
+}
+
+// fields is the whole list of keys outside [[peer_keys]].
+var fields = []field{
+	name("instance.id", func(s *Settings, v string) { s.Instance.ID = model.InstanceID(v) }),
+	name("instance.zone", func(s *Settings, v string) { s.Instance.Zone = model.Zone(v) }),
+
+	address("listen.flows", true, func(s *Settings) *netip.AddrPort { return &s.Listen.Flows }),
+	address("listen.peers", true, func(s *Settings) *netip.AddrPort { return &s.Listen.Peers }),
+	address("listen.requests", true, func(s *Settings) *netip.AddrPort { return &s.Listen.Requests }),
+	address("listen.operators", true, func(s *Settings) *netip.AddrPort { return &s.Listen.Operators }),
+	address("advertise.flows", false, func(s *Settings) *netip.AddrPort { return &s.Advertise.Flows }),
+	address("advertise.peers", false, func(s *Settings) *netip.AddrPort { return &s.Advertise.Peers }),
+	address("advertise.requests", false, func(s *Settings) *netip.AddrPort { return &s.Advertise.Requests }),
+
+	{key: "platform.url", allowed: "an http URL with host and port by IP number, without path",
+		required: true, set: setPlatformURL},
+
+	number("flows.shards", 2, 1, 64, func(s *Settings) *int { return &s.Flows.Shards }),
+	number("flows.table_entries", 262_144, 1024, 4_194_304, func(s *Settings) *int { return &s.Flows.TableEntries }),
+	number("flows.queue_packets", 4096, 64, 65_536, func(s *Settings) *int { return &s.Flows.QueuePackets }),
+	number("flows.exception_bytes_per_second", 2048, 0, 1_000_000, func(s *Settings) *int { return &s.Flows.ExceptionBytes }),
+	number("flows.hint_bytes_per_second", 2048, 0, 1_000_000, func(s *Settings) *int { return &s.Flows.HintBytes }),
+
+	number("requests.max_in_flight", 4096, 1, 65_536, func(s *Settings) *int { return &s.Requests.MaxInFlight }),
+	number("requests.in_flight_bytes", 256<<20, 1<<20, 64<<30, func(s *Settings) *int64 { return &s.Requests.InFlightBytes }),
+	number("requests.tenant_bytes", 128<<20, 1<<20, 64<<30, func(s *Settings) *int64 { return &s.Requests.TenantBytes }),
+	milliseconds("requests.queue_wait_ms", 100, 0, 10_000, func(s *Settings) *time.Duration { return &s.Requests.QueueWait }),
+	number("requests.queue_length", 64, 0, 4096, func(s *Settings) *int { return &s.Requests.QueueLength }),
+	number("requests.dedup_keys", 100_000, 1000, 10_000_000, func(s *Settings) *int { return &s.Requests.DedupKeys }),
+	number("requests.dedup_answer_bytes", 4096, 0, 65_536, func(s *Settings) *int { return &s.Requests.DedupAnswerBytes }),
+
+	milliseconds("shutdown.notice_ms", 2000, 0, 60_000, func(s *Settings) *time.Duration { return &s.Shutdown.Notice }),
+	milliseconds("shutdown.drain_ms", 30_000, 100, 600_000, func(s *Settings) *time.Duration { return &s.Shutdown.Drain }),
+
+	{key: "log.level", allowed: "one of debug, info, error", byDefault: "info", set: func(s *Settings, v any) bool {
+		s.Log.Level, _ = v.(string)
+		return slices.Contains([]string{"debug", "info", "error"}, s.Log.Level)
+	}},
+	number("metrics.decisions", 1024, 16, 65_536, func(s *Settings) *int { return &s.Metrics.Decisions }),
+}
+
+// namePattern keeps identifiers short and free of separators, because they are
+// part of URLs, log lines and hash inputs.
+var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9.-]{0,62}[a-z0-9])?$`)
+
+func name(key string, store func(s *Settings, v string)) field {
+	return field{key: key, allowed: "1 to 64 characters a-z, 0-9, '-' and '.', no '-' or '.' at either end",
+		required: true, set: func(s *Settings, v any) bool {
+			text, ok := v.(string)
+			store(s, text)
+			return ok && namePattern.MatchString(text)
+		}}
+}
+
+func address(key string, required bool, target func(s *Settings) *netip.AddrPort) field {
+	allowed := "an IP number and a port, for example 127.0.0.1:4101; port 0 lets the system choose"
+	if !required {
+		allowed = "an IP number that peers can reach and a port; port 0 means the port listened on"
+	}
+	return field{key: key, allowed: allowed, required: required, set: func(s *Settings, v any) bool {
+		text, _ := v.(string)
+		parsed, err := netip.ParseAddrPort(text)
+		*target(s) = parsed
+		return err == nil && (required || !parsed.Addr().IsUnspecified())
+	}}
+}
+
+func number[T int | int64](key string, byDefault, lo, hi int64, target func(s *Settings) *T) field {
+	return field{key: key, allowed: fmt.Sprintf("%d to %d", lo, hi), byDefault: byDefault,
+		set: func(s *Settings, v any) bool {
+			n, ok := v.(int64)
+			if !ok || n < lo || n > hi || n > math.MaxInt {
+				return false
+			}
+			*target(s) = T(n)
+			return true
+		}}
+}
+
+func milliseconds(key string, byDefault, lo, hi int64, target func(s *Settings) *time.Duration) field {
+	f := number(key, byDefault, lo, hi, func(s *Settings) *int64 { return (*int64)(target(s)) })
+	f.allowed += " ms"
+	inner := f.set
+	f.set = func(s *Settings, v any) bool {
+		if !inner(s, v) {
+			return false
+		}
+		*target(s) *= time.Millisecond
+		return true
+	}
+	return f
+}
+
+func setPlatformURL(s *Settings, v any) bool {
+	text, _ := v.(string)
+	s.Platform.URL = strings.TrimSuffix(text, "/")
+	u, err := url.Parse(s.Platform.URL)
+	if err != nil || u.Scheme != "http" || u.Path != "" || u.RawQuery != "" || u.Fragment != "" || u.User != nil {
+		return false
+	}
+	_, err = netip.ParseAddrPort(u.Host)
+	return err == nil
+}
--- /dev/null
+++ b/internal/adapter/settings/settings_test.go
@@ -0,0 +1,133 @@
+package settings
+
+import (
+	"errors"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const valid = `
+[instance]
+id = "halle-a-1"
+zone = "halle-a"
+[listen]
+flows = "127.0.0.1:0"
+peers = "127.0.0.1:0"
+requests = "127.0.0.1:0"
+operators = "127.0.0.1:0"
+[platform]
+url = "http://127.0.0.1:4000"
+[[peer_keys]]
+id = "2026-12"
+secret = "0123456789abcdef0123456789abcdef"
+`
+
+func TestDefaultsApply(t *testing.T) {
+	s, err := Parse("a.toml", []byte(valid))
+	require.NoError(t, err)
+	require.Equal(t, 30*time.Second, s.Shutdown.Drain)
+	require.Equal(t, 2048, s.Flows.HintBytes)
+	require.EqualValues(t, 256<<20, s.Requests.InFlightBytes)
+	require.Equal(t, "2026-12", s.PeerKeys[0].ID)
+	require.Equal(t, "info", s.Log.Level)
+}
+
+func TestValuesOfTheFileApply(t *testing.T) {
+	s, err := Parse("a.toml", []byte(valid+"[shutdown]\ndrain_ms = 1500\nnotice_ms = 5\n[flows]\nshards = 7\n"))
+	require.NoError(t, err)
+	require.Equal(t, 1500*time.Millisecond, s.Shutdown.Drain)
+	require.Equal(t, 5*time.Millisecond, s.Shutdown.Notice)
+	require.Equal(t, 7, s.Flows.Shards)
+}
+
+// Guards against a wrong value that is accepted, and against an error that does
+// not tell the operator which key of which file to correct and how.
+func TestWrongValueNamesFileKeyAndRange(t *testing.T) {
+	const secret = `secret = "0123456789abcdef0123456789abcdef"`
+	cases := []struct{ name, old, new, key, allowed string }{
+		{"id missing", `id = "halle-a-1"`, ``, "instance.id", "1 to 64 characters"},
+		{"id upper case", `"halle-a-1"`, `"Halle A"`, "instance.id", "1 to 64 characters"},
+		{"id number", `"halle-a-1"`, `17`, "instance.id", "1 to 64 characters"},
+		{"zone empty", `zone = "halle-a"`, `zone = ""`, "instance.zone", "1 to 64 characters"},
+		{"host name", `flows = "127.0.0.1:0"`, `flows = "localhost:0"`, "listen.flows", "an IP number and a port"},
+		{"port too high", `peers = "127.0.0.1:0"`, `peers = "127.0.0.1:65536"`, "listen.peers", "port 0"},
+		{"no port", `requests = "127.0.0.1:0"`, `requests = "127.0.0.1"`, "listen.requests", "an IP number and a port"},
+		{"operators missing", `operators = "127.0.0.1:0"`, ``, "listen.operators", "an IP number and a port"},
+		{"unreachable", `[platform]`, "[advertise]\npeers = \"0.0.0.0:1\"\n[platform]", "advertise.peers", "peers can reach"},
+		{"unspecified", `peers = "127.0.0.1:0"`, `peers = "0.0.0.0:0"`, "advertise.peers", "required when listen.peers"},
+		{"https", `http://127`, `https://127`, "platform.url", "an http URL"},
+		{"url with path", `:4000"`, `:4000/v1"`, "platform.url", "without path"},
+		{"url by name", `127.0.0.1:4000`, `platform.local:4000`, "platform.url", "IP number"},
+		{"no peer key", "[[peer_keys]]\nid = \"2026-12\"\n" + secret, ``, "peer_keys", "1 or 2"},
+		{"key id", `"2026-12"`, `"2026 12"`, "peer_keys[0].id", "1 to 16"},
+		{"short secret", secret, `secret = "0123"`, "peer_keys[0].secret", "32 to 128"},
+		{"unknown in key", secret, secret + "\nuntil = 1", "peer_keys[0].until", "id and secret"},
+		{"same key id", secret, secret + "\n[[peer_keys]]\nid = \"2026-12\"\n" + secret, "peer_keys[1].id", "different"},
+		{"unknown key", `zone =`, "region = \"x\"\nzone =", "instance.region", "docs/operators.md"},
+		{"unknown table", `[platform]`, "[cache]\nsize = 1\n[platform]", "cache.size", "docs/operators.md"},
+		{"notice over drain", `[platform]`, "[shutdown]\nnotice_ms = 500\ndrain_ms = 400\n[platform]", "shutdown.notice_ms", "below"},
+		{"tenant over instance", `[platform]`, "[requests]\ntenant_bytes = 2097152\nin_flight_bytes = 1048576\n[platform]", "requests.tenant_bytes", "at most"},
+		{"level", `[platform]`, "[log]\nlevel = \"loud\"\n[platform]", "log.level", "one of debug, info, error"},
+		{"table as a value", `[instance]`, "flows = 3\n[instance]", "flows", "docs/operators.md"},
+		{"syntax", `[platform]`, "[platform", "line", "TOML"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			text := strings.Replace(valid, c.old, c.new, 1)
+			require.NotEqual(t, valid, text, "the case changes nothing")
+			requireProblem(t, text, c.key, c.allowed)
+		})
+	}
+}
+
+// Guards against a numeric setting whose limits are not checked.
+func TestEveryNumberHasCheckedLimits(t *testing.T) {
+	for _, f := range fields {
+		if _, ok := f.byDefault.(int64); !ok {
+			continue
+		}
+		table, key, _ := strings.Cut(f.key, ".")
+		for _, value := range []string{"-1", "99999999999999", `"10"`, "1.5", "true"} {
+			requireProblem(t, valid+"["+table+"]\n"+key+" = "+value+"\n", f.key, f.allowed)
+		}
+	}
+}
+
+func requireProblem(t *testing.T, text, key, allowed string) {
+	t.Helper()
+	_, err := Parse("halle.toml", []byte(text))
+	require.ErrorIs(t, err, ErrInvalid)
+	var invalid *InvalidError
+	require.ErrorAs(t, err, &invalid)
+	for _, p := range invalid.Problems {
+		if strings.HasPrefix(p.Key, key) && strings.Contains(p.Allowed, allowed) {
+			require.Contains(t, err.Error(), "halle.toml: "+key)
+			return
+		}
+	}
+	t.Fatalf("no problem for %s (%s) in:\n%v", key, allowed, err)
+}
+
+// Guards against a check that stops at the first error, so that operators
+// correct a file one error at a time.
+func TestAllProblemsAreReportedAtOnce(t *testing.T) {
+	text := strings.NewReplacer(`"halle-a-1"`, `""`, `http://`, `ftp://`).Replace(valid) + "[flows]\nshards = 0\nrings = 1\n"
+	_, err := Parse("halle.toml", []byte(text))
+	require.Len(t, strings.Split(err.Error(), "\n"), 4)
+}
+
+// Guards against a secret that ends up in an error message and so in logs.
+func TestErrorsDoNotShowSecrets(t *testing.T) {
+	_, err := Parse("a.toml", []byte(strings.Replace(valid, "0123456789abcdef0123456789abcdef", "top secret", 1)))
+	require.ErrorIs(t, err, ErrInvalid)
+	require.NotContains(t, err.Error(), "top secret")
+}
+
+func TestMissingFileIsUnreadable(t *testing.T) {
+	_, err := Load(t.TempDir() + "/none.toml")
+	require.True(t, errors.Is(err, ErrUnreadable))
+	require.ErrorContains(t, err, "none.toml")
+}
