--- /dev/null
+++ b/cmd/savoryctl/main.go
@@ -0,0 +1,17 @@
+// Command savoryctl is the operators' command line of the load balancer.
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+
+	"github.com/savorytiller/savorytiller/internal/adapter/operatorcli"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	code := operatorcli.Run(ctx, os.Args[1:], os.Stdout, os.Stderr)
+	stop()
+	os.Exit(code)
+}
--- /dev/null
+++ b/internal/adapter/admin/types.go
@@ -0,0 +1,133 @@
+// Package admin serves the operators' HTTP endpoints: /ready, /status, /metrics
+// and /explain. It reads snapshots only and never waits for another thread.
+package admin
+
+import (
+	"github.com/savorytiller/savorytiller/internal/adapter/metrics"
+)
+
+// Status is the answer of /status.
+type Status struct {
+	Instance Instance `json:"instance"`
+	// Ready is false while callers must use other instances; ReadyReason says why.
+	Ready       bool   `json:"ready"`
+	ReadyReason string `json:"ready_reason,omitempty"`
+	View        View   `json:"view"`
+	Note        Note   `json:"note"`
+	// WithdrawnZones are the availability zones that are out of service.
+	WithdrawnZones []string  `json:"withdrawn_zones"`
+	Members        []Member  `json:"members"`
+	Servers        []Server  `json:"servers"`
+	Services       []Service `json:"services"`
+}
+
+// Instance names the instance that answers.
+type Instance struct {
+	ID          string `json:"id"`
+	Zone        string `json:"zone"`
+	Incarnation uint64 `json:"incarnation"`
+	UptimeMs    int64  `json:"uptime_ms"`
+}
+
+// View describes the snapshot that traffic acts on.
+type View struct {
+	Sequence uint64 `json:"sequence"`
+	// FreshForMs is the rest of the view's lease; traffic stops at 0.
+	FreshForMs int64 `json:"fresh_for_ms"`
+}
+
+// Note describes the release note in force.
+type Note struct {
+	Version uint64 `json:"version"`
+	Digest  string `json:"digest"`
+	// AgeMs is the time since control last heard of the newest version, from
+	// the configuration service or a peer; -1 if it never has.
+	AgeMs int64 `json:"age_ms"`
+	// LastRefusal is the reason and detail of the last refused note.
+	LastRefusal string `json:"last_refusal,omitempty"`
+	// Alarm is set when two different notes have the same version.
+	Alarm string `json:"alarm,omitempty"`
+}
+
+// Member is what this instance believes about another one, and why.
+type Member struct {
+	ID          string `json:"id"`
+	Zone        string `json:"zone"`
+	Incarnation uint64 `json:"incarnation"`
+	Liveness    string `json:"liveness"`
+	Why         string `json:"why"`
+	// Version is the release note that the member last reported.
+	Version        uint64 `json:"version"`
+	FlowAddress    string `json:"flow_address"`
+	PeerAddress    string `json:"peer_address"`
+	RequestAddress string `json:"request_address"`
+}
+
+// Server is the state of a backend server and this instance's share of it.
+type Server struct {
+	ID      string `json:"id"`
+	Service string `json:"service"`
+	Zone    string `json:"zone"`
+	// State is the state in the release note, Warmth the one observed.
+	State   string `json:"state"`
+	Warmth  string `json:"warmth"`
+	Reason  string `json:"reason"`
+	NewWork bool   `json:"new_work"`
+	// SlotsHeld and SlotLimit are this instance's slots and how many of them it
+	// may use now; ConnectionLimit bounds its flows.
+	SlotsHeld       int    `json:"slots_held"`
+	SlotLimit       int    `json:"slot_limit"`
+	ConnectionLimit uint32 `json:"connection_limit"`
+	// Home is the instance that alone may use the server while it is cold.
+	Home string `json:"home,omitempty"`
+}
+
+// Service lists the lookup tables of a service.
+type Service struct {
+	ID             uint32   `json:"id"`
+	Name           string   `json:"name"`
+	VirtualAddress string   `json:"virtual_address"`
+	Host           string   `json:"host"`
+	Generations    []uint64 `json:"generations"`
+}
+
+// Metrics is the answer of /metrics.
+type Metrics = metrics.Snapshot
+
+// Explanation is the answer of /explain. Flow is set if the query names a flow.
+type Explanation struct {
+	Decisions []Decision `json:"decisions,omitempty"`
+	Flow      *Flow      `json:"flow,omitempty"`
+}
+
+// Decision is a recent decision.
+type Decision struct {
+	AgeMs   int64  `json:"age_ms"`
+	Part    string `json:"part"`
+	Reason  string `json:"reason"`
+	Subject string `json:"subject"`
+	Detail  string `json:"detail,omitempty"`
+}
+
+// Flow explains where the first packet of a flow goes with the present view.
+type Flow struct {
+	Service     string `json:"service"`
+	Protocol    string `json:"protocol"`
+	Source      string `json:"source"`
+	Destination string `json:"destination"`
+	// Fingerprint is the flow's hash in hexadecimal digits.
+	Fingerprint string `json:"fingerprint"`
+	Zone        string `json:"zone,omitempty"`
+	Owner       string `json:"owner,omitempty"`
+	// TableChoice is the server that the lookup table names; Server is the one
+	// that gets the flow.
+	TableChoice string   `json:"table_choice,omitempty"`
+	Server      string   `json:"server,omitempty"`
+	Reason      string   `json:"reason"`
+	Steps       []string `json:"steps"`
+}
+
+// Problem is the body of every answer with an error status.
+type Problem struct {
+	Error string `json:"error"`
+}
