--- a/internal/adapter/settings/settings_test.go
+++ b/internal/adapter/settings/settings_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"errors"
+	"fmt"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -131,3 +133,20 @@
 	require.True(t, errors.Is(err, ErrUnreadable))
 	require.ErrorContains(t, err, "none.toml")
 }
+
+// Guards against a setting that is not documented, and against a page that
+// shows an outdated default.
+func TestOperatorsPageListsEveryKey(t *testing.T) {
+	page, err := os.ReadFile("../../../docs/operators.md")
+	require.NoError(t, err)
+	for _, f := range fields {
+		row := "\n| `" + f.key + "` | "
+		switch {
+		case f.required:
+			row += "required |"
+		case f.byDefault != nil:
+			row += fmt.Sprint(f.byDefault) + " |"
+		}
+		require.Contains(t, string(page), row)
+	}
+}
