--- a/internal/adapter/settings/load.go
+++ b/internal/adapter/settings/load.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 	"os"
 	"regexp"
 	"sort"
@@ -136,15 +137,12 @@
 // key can be replaced without a moment in which instances refuse each other.
 const (
 	allowedKeyCount  = "1 or 2 tables [[peer_keys]]"
-	allowedKeyID     = "1 to 16 characters a-z, 0-9 and '-', different for each key"
+	allowedKeyID     = "1 to 255, different for each key"
 	allowedKeySecret = "32 to 128 printable characters"
 	allowedKeyTable  = "a table with the keys id and secret"
 )
 
-var (
-	keyIDPattern     = regexp.MustCompile(`^[a-z0-9-]{1,16}$`)
-	keySecretPattern = regexp.MustCompile(`^[!-~]{32,128}$`)
-)
+var keySecretPattern = regexp.MustCompile(`^[!-~]{32,128}$`)
 
 func (p *parser) peerKeys() {
 	value, given := p.values["peer_keys"]
@@ -153,7 +151,7 @@
 	if !given || !ok || len(list) < 1 || len(list) > 2 {
 		p.problem("peer_keys", fmt.Sprintf("got %d", len(list)), allowedKeyCount)
 	}
-	seen := map[string]bool{}
+	seen := map[int64]bool{}
 	for i, entry := range list {
 		prefix := fmt.Sprintf("peer_keys[%d]", i)
 		table, ok := entry.(map[string]any)
@@ -161,8 +159,8 @@
 			p.problem(prefix, fmt.Sprintf("got %T", entry), allowedKeyTable)
 			continue
 		}
-		id, _ := table["id"].(string)
-		if !keyIDPattern.MatchString(id) || seen[id] {
+		id, _ := table["id"].(int64)
+		if id < 1 || id > math.MaxUint8 || seen[id] {
 			p.problem(prefix+".id", fmt.Sprintf("got %#v", table["id"]), allowedKeyID)
 		}
 		seen[id] = true
@@ -176,7 +174,7 @@
 				p.problem(prefix+"."+key, "unknown key", allowedKeyTable)
 			}
 		}
-		p.settings.PeerKeys = append(p.settings.PeerKeys, PeerKey{ID: id, Secret: []byte(secret)})
+		p.settings.PeerKeys = append(p.settings.PeerKeys, PeerKey{ID: uint8(id), Secret: []byte(secret)})
 	}
 }
 
--- a/internal/adapter/settings/settings.go
+++ b/internal/adapter/settings/settings.go
@@ -48,7 +48,8 @@
 // PeerKey authenticates messages between instances. The first key of the list
 // signs; every key of the list verifies.
 type PeerKey struct {
-	ID     string
+	// ID is the number by which messages name the key.
+	ID     uint8
 	Secret []byte
 }
 
--- a/internal/adapter/settings/settings_test.go
+++ b/internal/adapter/settings/settings_test.go
@@ -23,7 +23,7 @@
 [platform]
 url = "http://127.0.0.1:4000"
 [[peer_keys]]
-id = "2026-12"
+id = 12
 secret = "0123456789abcdef0123456789abcdef"
 `
 
@@ -33,7 +33,7 @@
 	require.Equal(t, 30*time.Second, s.Shutdown.Drain)
 	require.Equal(t, 2048, s.Flows.HintBytes)
 	require.EqualValues(t, 256<<20, s.Requests.InFlightBytes)
-	require.Equal(t, "2026-12", s.PeerKeys[0].ID)
+	require.EqualValues(t, 12, s.PeerKeys[0].ID)
 	require.Equal(t, "info", s.Log.Level)
 }
 
@@ -63,11 +63,12 @@
 		{"https", `http://127`, `https://127`, "platform.url", "an http URL"},
 		{"url with path", `:4000"`, `:4000/v1"`, "platform.url", "without path"},
 		{"url by name", `127.0.0.1:4000`, `platform.local:4000`, "platform.url", "IP number"},
-		{"no peer key", "[[peer_keys]]\nid = \"2026-12\"\n" + secret, ``, "peer_keys", "1 or 2"},
-		{"key id", `"2026-12"`, `"2026 12"`, "peer_keys[0].id", "1 to 16"},
+		{"no peer key", "[[peer_keys]]\nid = 12\n" + secret, ``, "peer_keys", "1 or 2"},
+		{"key id", `id = 12`, `id = 256`, "peer_keys[0].id", "1 to 255"},
+		{"key id as text", `id = 12`, `id = "12"`, "peer_keys[0].id", "1 to 255"},
 		{"short secret", secret, `secret = "0123"`, "peer_keys[0].secret", "32 to 128"},
 		{"unknown in key", secret, secret + "\nuntil = 1", "peer_keys[0].until", "id and secret"},
-		{"same key id", secret, secret + "\n[[peer_keys]]\nid = \"2026-12\"\n" + secret, "peer_keys[1].id", "different"},
+		{"same key id", secret, secret + "\n[[peer_keys]]\nid = 12\n" + secret, "peer_keys[1].id", "different"},
 		{"unknown key", `zone =`, "region = \"x\"\nzone =", "instance.region", "docs/operators.md"},
 		{"unknown table", `[platform]`, "[cache]\nsize = 1\n[platform]", "cache.size", "docs/operators.md"},
 		{"notice over drain", `[platform]`, "[shutdown]\nnotice_ms = 500\ndrain_ms = 400\n[platform]", "shutdown.notice_ms", "below"},
