--- a/internal/adapter/admin/admin.go
+++ b/internal/adapter/admin/admin.go
@@ -1,6 +1,7 @@
 package admin
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -80,6 +81,7 @@
 			return
 		}
 		flow := s.Explain(key)
+		flow.Service, flow.Protocol = query.Get("service"), cmp.Or(query.Get("protocol"), protocolNameTCP)
 		answer(w, http.StatusOK, Explanation{Flow: &flow})
 		return
 	}
--- a/internal/adapter/admin/types.go
+++ b/internal/adapter/admin/types.go
@@ -92,7 +92,12 @@
 }
 
 // Metrics is the answer of /metrics.
-type Metrics = metrics.Snapshot
+type Metrics struct {
+	metrics.Snapshot
+	// Gauges are present values and totals of the parts by name, for example
+	// "flow.records" or "peer.bytes_sent".
+	Gauges map[string]int64 `json:"gauges"`
+}
 
 // Explanation is the answer of /explain. Flow is set if the query names a flow.
 type Explanation struct {
--- a/internal/adapter/operatorcli/show.go
+++ b/internal/adapter/operatorcli/show.go
@@ -4,7 +4,9 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net/url"
+	"slices"
 	"strconv"
 	"strings"
 	"text/tabwriter"
@@ -139,7 +141,7 @@
 }
 
 type metricsCommand struct {
-	Part string `help:"Show the counters of this part only."`
+	Part string `help:"Show the counters and gauges of this part only."`
 }
 
 // Run shows the metrics.
@@ -164,6 +166,14 @@
 		}
 		t.flush()
 		fmt.Fprintln(w)
+		t = newTable(w, "GAUGE", "VALUE")
+		for _, name := range slices.Sorted(maps.Keys(m.Gauges)) {
+			if strings.HasPrefix(name, c.Part) {
+				t.row(name, m.Gauges[name])
+			}
+		}
+		t.flush()
+		fmt.Fprintln(w)
 		t = newTable(w, "METRIC", "TENANT", "CLASS", "COUNT", "MEAN MS", "P50", "P95", "P99", "MAX")
 		for _, h := range m.Histograms {
 			t.row(h.Metric, h.Tenant, h.Class, h.Count, round(h.MeanMs), round(h.P50Ms), round(h.P95Ms), round(h.P99Ms), round(h.MaxMs))
--- a/internal/adapter/settings/fields.go
+++ b/internal/adapter/settings/fields.go
@@ -47,13 +47,12 @@
 	number("flows.exception_bytes_per_second", 2048, 0, 1_000_000, func(s *Settings) *int { return &s.Flows.ExceptionBytes }),
 	number("flows.hint_bytes_per_second", 2048, 0, 1_000_000, func(s *Settings) *int { return &s.Flows.HintBytes }),
 
-	number("requests.max_in_flight", 4096, 1, 65_536, func(s *Settings) *int { return &s.Requests.MaxInFlight }),
+	number("requests.max_connections", 4096, 1, 65_536, func(s *Settings) *int { return &s.Requests.MaxConnections }),
 	number("requests.in_flight_bytes", 256<<20, 1<<20, 64<<30, func(s *Settings) *int64 { return &s.Requests.InFlightBytes }),
-	number("requests.tenant_bytes", 128<<20, 1<<20, 64<<30, func(s *Settings) *int64 { return &s.Requests.TenantBytes }),
-	milliseconds("requests.queue_wait_ms", 100, 0, 10_000, func(s *Settings) *time.Duration { return &s.Requests.QueueWait }),
-	number("requests.queue_length", 64, 0, 4096, func(s *Settings) *int { return &s.Requests.QueueLength }),
+	number("requests.tenant_bytes", 64<<20, 1<<20, 64<<30, func(s *Settings) *int64 { return &s.Requests.TenantBytes }),
+	milliseconds("requests.queue_wait_ms", 50, 1, 10_000, func(s *Settings) *time.Duration { return &s.Requests.QueueWait }),
+	number("requests.queue_length", 64, 1, 4096, func(s *Settings) *int { return &s.Requests.QueueLength }),
 	number("requests.dedup_keys", 100_000, 1000, 10_000_000, func(s *Settings) *int { return &s.Requests.DedupKeys }),
-	number("requests.dedup_answer_bytes", 4096, 0, 65_536, func(s *Settings) *int { return &s.Requests.DedupAnswerBytes }),
 
 	milliseconds("shutdown.notice_ms", 2000, 0, 60_000, func(s *Settings) *time.Duration { return &s.Shutdown.Notice }),
 	milliseconds("shutdown.drain_ms", 30_000, 100, 600_000, func(s *Settings) *time.Duration { return &s.Shutdown.Drain }),
--- a/internal/adapter/settings/settings.go
+++ b/internal/adapter/settings/settings.go
@@ -68,8 +68,8 @@
 
 // Requests bounds the request front end.
 type Requests struct {
-	// MaxInFlight is the number of requests in progress at a time.
-	MaxInFlight int
+	// MaxConnections is the number of open connections of callers.
+	MaxConnections int
 	// InFlightBytes and TenantBytes bound the bodies in progress, in bytes.
 	InFlightBytes int64
 	TenantBytes   int64
@@ -79,8 +79,6 @@
 	QueueLength int
 	// DedupKeys is the number of remembered idempotency keys.
 	DedupKeys int
-	// DedupAnswerBytes is the size of the largest remembered answer.
-	DedupAnswerBytes int
 }
 
 // Shutdown bounds a graceful shutdown.
