--- a/internal/port/errors.go
+++ b/internal/port/errors.go
@@ -14,8 +14,8 @@
 	ErrForged = merry.Sentinel("message failed authentication")
 	// ErrTooLarge means that a message or value is over its size limit.
 	ErrTooLarge = merry.Sentinel("message too large")
-	// ErrTruncated means that a packet is shorter than its headers say.
-	ErrTruncated = merry.Sentinel("packet truncated")
+	// ErrTruncated means that a packet or a body ends before its announced length.
+	ErrTruncated = merry.Sentinel("truncated")
 	// ErrMalformed means that a packet is not of the expected format.
 	ErrMalformed = merry.Sentinel("packet malformed")
 )
--- a/internal/port/request.go
+++ b/internal/port/request.go
@@ -24,9 +24,6 @@
 // ErrBodyTooLarge means that a body is over the limit of its service.
 var ErrBodyTooLarge = merry.Sentinel("body too large")
 
-// ErrTruncated means that a body ended before its announced length.
-var ErrTruncated = merry.Sentinel("body truncated")
-
 // CallerRequest is a request as the front end hands it to the request worker.
 type CallerRequest struct {
 	Incoming request.Incoming
