Check notes in force, interrupted requests and a zone change in the demo

The load tool now reports requests that ran and whose connection broke (GracefulShutdown). The demo checks that each note is in force at every instance within 6 s and does not revert, and takes a zone out of service.

--- a/cmd/savoryload/main.go
+++ b/cmd/savoryload/main.go
@@ -24,7 +24,7 @@
 	Seed       uint64        `default:"1" help:"Seed of all random choices."`
 	Scale      float64       `default:"1" help:"Factor on the request rates."`
 	MinService float64       `default:"0.9" help:"Smallest accepted share of completed operations."`
-	Unplanned  bool          `help:"The run contains crashes: broken flows are reported but accepted."`
+	Unplanned  bool          `help:"The run contains crashes: broken flows and interrupted requests are reported but accepted."`
 	JSON       string        `help:"File for the report in JSON."`
 }
 
--- a/internal/standin/load/judge.go
+++ b/internal/standin/load/judge.go
@@ -111,6 +111,7 @@
 			}
 		}
 	}
+	r.judgeInterruptions(o, runs)
 	switch o.outcome {
 	case completed:
 		class.Completed++
@@ -133,6 +134,23 @@
 	}
 }
 
+// judgeInterruptions reports attempts that ran and whose connection broke before
+// the answer was whole. A connection that breaks before the request runs is the
+// usual race between a keep-alive connection and its close.
+func (r *Report) judgeInterruptions(o *operationResult, runs map[string][]int64) {
+	for i, a := range o.attempts {
+		if a.reason != reasonConnection && a.reason != reasonCutOff {
+			continue
+		}
+		ran := slices.ContainsFunc(runs[a.operation], func(at int64) bool {
+			return at >= a.sentAt.UnixNano() && (i+1 == len(o.attempts) || at < o.attempts[i+1].sentAt.UnixNano())
+		})
+		if ran {
+			r.violate(PromiseGracefulShutdown, "%s: %s while it ran", a.operation, a.reason)
+		}
+	}
+}
+
 func (r *Report) judgeServer(s *backend.Record) {
 	count := func(promise string, n int, what string) {
 		if n > 0 {
--- a/internal/standin/load/judge_test.go
+++ b/internal/standin/load/judge_test.go
@@ -45,6 +45,7 @@
 	refused := attempt{operation: "k", sentAt: at(0), outcome: notRun}
 	lost := attempt{operation: "k", sentAt: at(0), outcome: unknown}
 	again := attempt{operation: "k.2", sentAt: at(2), outcome: completed}
+	cut := attempt{operation: "k", sentAt: at(0), outcome: unknown, reason: reasonCutOff}
 	reset := feedResult{service: "line-control", server: "line-01", source: "127.0.0.1:9", end: feedReset, opened: at(0), ended: at(20)}
 	closed := feedResult{service: "line-control", server: "line-01", source: "127.0.0.1:9", end: feedClosed, opened: at(0), ended: at(20)}
 	crashed := []backend.Record{{ID: "line-01", Excuses: []int64{at(19).UnixNano()}}}
@@ -64,6 +65,8 @@
 		{"ran twice", runsAt("k", 0.1, 0.2), post(completed, once), PromiseAtMostOnce},
 		{"ran twice under unknown outcome", runsAt("k", 0.1, 0.2), post(unknown, lost), PromiseAtMostOnce},
 		{"unknown and ran once", runsAt("k", 0.1), post(unknown, lost), ""},
+		{"connection broken before the run", nil, post(unknown, cut), ""},
+		{"connection broken while it ran", runsAt("k", 0.1), post(unknown, cut), PromiseGracefulShutdown},
 		{"completed without a run", nil, post(completed, once), PromiseLostWork},
 		{"refused and ran", runsAt("k", 0.1), post(notRun, refused), PromiseNotRun},
 		{"refused, ran before the next attempt", runsAt("k", 0.1), post(completed, refused, again), PromiseNotRun},
--- a/internal/standin/load/load.go
+++ b/internal/standin/load/load.go
@@ -42,7 +42,7 @@
 	Seed       uint64
 	// Scale multiplies the rates of requests.
 	Scale float64
-	// Unplanned accepts broken flows: the run contains crashes.
+	// Unplanned accepts broken flows and interrupted requests: the run contains crashes.
 	Unplanned bool
 	// MinService is the smallest accepted share of completed operations.
 	MinService float64
--- a/internal/standin/load/operation.go
+++ b/internal/standin/load/operation.go
@@ -30,6 +30,12 @@
 	unknown   outcome = "outcome-unknown"
 )
 
+// Reasons of attempts whose connection broke.
+const (
+	reasonConnection = "connection broken"
+	reasonCutOff     = "answer cut off"
+)
+
 // attempt is one transmission of an operation.
 type attempt struct {
 	// operation is the key, or the URI of an idempotent request.
@@ -137,13 +143,16 @@
 	response, err := o.client.Do(request)
 	if err != nil {
 		var dial *net.OpError
-		a.reason = "connection"
+		a.reason = reasonConnection
+		if ctx.Err() != nil {
+			a.reason = "no answer in time"
+		}
 		return a, !(errors.As(err, &dial) && dial.Op == "dial")
 	}
 	defer response.Body.Close()
 	body, err := io.ReadAll(response.Body)
 	if err != nil {
-		a.reason = "answer cut off"
+		a.reason = reasonCutOff
 		return a, true
 	}
 	a.reason = response.Header.Get("Outcome-Reason")
--- a/internal/standin/load/report.go
+++ b/internal/standin/load/report.go
@@ -3,28 +3,34 @@
 import (
 	"fmt"
 	"io"
+	"slices"
 	"strings"
 	"time"
 )
 
 // Names of the promises, as in design section 2, and of the further checks.
 const (
-	PromisePlannedChange  = "PlannedChange"
-	PromiseNoCrossService = "NoCrossService"
-	PromiseColdStart      = "ColdStart"
-	PromiseZoneWithdrawn  = "ZoneWithdrawn"
-	PromiseWholeAnswer    = "WholeAnswer"
-	PromiseNotRun         = "NotRun"
-	PromiseAtMostOnce     = "AtMostOnce"
-	PromiseLeavingServer  = "LeavingServer"
-	PromiseLostWork       = "LostWork"
-	PromiseConnections    = "Connections"
-	PromiseService        = "Service"
+	PromisePlannedChange    = "PlannedChange"
+	PromiseNoCrossService   = "NoCrossService"
+	PromiseColdStart        = "ColdStart"
+	PromiseZoneWithdrawn    = "ZoneWithdrawn"
+	PromiseWholeAnswer      = "WholeAnswer"
+	PromiseNotRun           = "NotRun"
+	PromiseAtMostOnce       = "AtMostOnce"
+	PromiseLeavingServer    = "LeavingServer"
+	PromiseGracefulShutdown = "GracefulShutdown"
+	PromiseLostWork         = "LostWork"
+	PromiseConnections      = "Connections"
+	PromiseService          = "Service"
 )
 
 var promises = []string{PromisePlannedChange, PromiseNoCrossService, PromiseColdStart, PromiseZoneWithdrawn,
-	PromiseWholeAnswer, PromiseNotRun, PromiseAtMostOnce, PromiseLeavingServer, PromiseLostWork, PromiseConnections,
-	PromiseService}
+	PromiseWholeAnswer, PromiseNotRun, PromiseAtMostOnce, PromiseLeavingServer, PromiseGracefulShutdown, PromiseLostWork,
+	PromiseConnections, PromiseService}
+
+// crashes lists the promises that a crash is allowed to break: they are about
+// planned changes and shutdowns.
+var crashes = []string{PromisePlannedChange, PromiseGracefulShutdown}
 
 // maxExamples bounds the examples of each broken promise in the report.
 const maxExamples = 5
@@ -128,12 +134,11 @@
 	r.Promises[promise] = v
 }
 
-// summarize sets the verdict. Flows may break when an instance crashes, which is
-// no planned change.
+// summarize sets the verdict.
 func (r *Report) summarize(options Options) {
 	r.Passed = true
 	for promise, v := range r.Promises {
-		if v.Count > 0 && !(promise == PromisePlannedChange && options.Unplanned) {
+		if v.Count > 0 && !(options.Unplanned && slices.Contains(crashes, promise)) {
 			r.Passed = false
 		}
 	}
@@ -163,7 +168,7 @@
 		r.Servers.Shed, r.Servers.Cancelled, r.Servers.Expired, r.Servers.Surprised, r.Servers.Malformed)
 	for _, promise := range promises {
 		v := r.Promises[promise]
-		fmt.Fprintf(w, "  promise %-15s %d broken\n", promise, v.Count)
+		fmt.Fprintf(w, "  promise %-16s %d broken\n", promise, v.Count)
 		for _, example := range v.Examples {
 			fmt.Fprintf(w, "    %s\n", example)
 		}
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -1,7 +1,8 @@
 #!/usr/bin/env bash
 # Runs both deployments of design section 1 on loopback, each with 7 entry
 # instances in several availability zones. While feeds are open, a release note
-# adds a server, drains one and withdraws one, and an entry instance is replaced.
+# adds a server, drains one and withdraws one, and an entry instance is replaced;
+# in the second one an availability zone is taken out of service and returns.
 # The exit status is 0 only if no promise was broken.
 # Usage: scripts/demo.sh [SEED]
 set -euo pipefail
@@ -11,32 +12,63 @@
 # shellcheck source=scripts/fleet.sh
 . scripts/fleet.sh
 
-run_deployment() { # NAME ADDED-SERVICE DRAINED-SERVER WITHDRAWN-SERVER ZONES...
+# replace_first replaces the first instance by a new one while traffic goes on.
+replace_first() {
+  local old=${instances[0]} new=${zones[0]}-9
+  echo "   $old is replaced by $new"
+  start_instance "$new" "${zones[0]}"
+  wait_ready "$new"
+  leave "$old" "${zones[0]}"
+  instances=("$new" "${instances[@]:1}")
+}
+
+begin() { # NAME SECONDS ZONES...
   name=$1
-  local added=$2 drained=$3 withdrawn=$4
-  shift 4
+  local seconds=$2
+  shift 2
   zones=("$@")
   work=$root/$name
   mkdir "$work"
   echo "== $name: 7 entry instances in ${#zones[@]} availability zones"
   start_standins --delay 1ms
   start_fleet
-  start_load 20
-  sleep 5
-  echo "   note 2: one more server of $added, $drained drains, $withdrawn is withdrawn"
-  publish "add=$added&drain=$drained&withdraw=$withdrawn"
+  start_load "$seconds"
   sleep 4
-  echo "   ${instances[0]} is replaced by ${zones[0]}-9"
-  start_instance "${zones[0]}-9" "${zones[0]}"
-  wait_ready "${zones[0]}-9"
-  leave "${instances[0]}" "${zones[0]}"
+}
+
+run_dosenfalz() {
+  begin dosenfalz 17 halle-a halle-b halle-c qs-labor
+  echo "   note 2: line-16 is added, line-03 drains, image-04 is withdrawn"
+  publish "add=line-control&drain=line-03&withdraw=image-04"
+  await_version
+  sleep 2
+  replace_first
+  check_versions
+  finish_load
+}
+
+run_mandi() {
+  begin mandi 24 pkc-a pkc-b pkc-c
+  echo "   note 2: price-16 is added, price-03 drains, tally-04 is withdrawn"
+  publish "add=price&drain=price-03&withdraw=tally-04"
+  await_version
+  echo "   note 3: pkc-b is taken out of service"
+  publish "zone_out=pkc-b"
+  await_version
+  sleep 1
+  replace_first
+  sleep 2
+  echo "   note 4: pkc-b returns"
+  publish "zone_in=pkc-b"
+  await_version
+  check_versions
   finish_load
 }
 
 failed=0
-run_isolated run_deployment dosenfalz line-control line-03 image-04 halle-a halle-b halle-c qs-labor
+run_isolated run_dosenfalz
 [ "$status" = 0 ] || failed=1
-run_isolated run_deployment mandi price price-03 tally-04 pkc-a pkc-b pkc-c
+run_isolated run_mandi
 [ "$status" = 0 ] || failed=1
 if [ "$failed" != 0 ]; then
   echo "demo: FAILED, logs are in $root" >&2
--- a/scripts/faults.sh
+++ b/scripts/faults.sh
@@ -127,6 +127,7 @@
     sleep 3
   done
   say "no more faults"
+  await_version
   finish_load
 }
 
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -88,6 +88,35 @@
   call POST "http://$platform/standin/publish" --data "$work/note-$version.json"
 }
 
+# version_of ID prints the version of the note that is in force at an instance.
+version_of() {
+  call GET "http://$(field "$work/$1.addresses" operators)/status" | tr -d ' \n' |
+    sed -n 's/.*"note":{"version":\([0-9]*\),.*/\1/p'
+}
+
+# await_version checks that the newest note comes into force at every listed
+# instance within 6 s (promise 10).
+await_version() {
+  local published id in_force
+  published=$(date +%s%N)
+  for id in "${instances[@]}"; do
+    until in_force=$(version_of "$id") && [ "$in_force" = "$version" ]; do
+      [ $(($(date +%s%N) - published)) -lt 6000000000 ] || fail "$id has note $in_force instead of $version after 6 s"
+      sleep 0.1
+    done
+  done
+  echo "   note $version is in force everywhere after $((($(date +%s%N) - published) / 1000000)) ms"
+}
+
+# check_versions fails if an instance has gone back to an older note.
+check_versions() {
+  local id in_force
+  for id in "${instances[@]}"; do
+    in_force=$(version_of "$id") || fail "$id does not answer its operators"
+    [ "$in_force" = "$version" ] || fail "$id has note $in_force instead of $version"
+  done
+}
+
 # field FILE NAME prints a value of a JSON file with one string a line.
 field() { sed -n "s/.*\"$2\": *\"\([^\"]*\)\".*/\1/p" "$1"; }
 
