--- a/internal/standin/backend/condition.go
+++ b/internal/standin/backend/condition.go
@@ -18,7 +18,8 @@
 	// returns. Only then is too much load a broken promise.
 	Cold      time.Time
 	Announced bool
-	// Crashed is the time of the last crash; Down is true until the restart.
+	// Crashed is the time at which the server last lost its flows; Down is true
+	// until the restart.
 	Crashed time.Time
 	Down    bool
 	// SilentBefore makes connections accepted before it permanently silent.
@@ -58,7 +59,8 @@
 		c.ZoneOut, c.Steady = now, false
 		c.Excuses = append(slices.Clone(c.Excuses), now.UnixNano())
 	case "zone-in":
-		c.ZoneOut, c.Cold, c.Announced = time.Time{}, now, true
+		// The servers of a zone that returns have restarted and know no flows.
+		c.ZoneOut, c.Cold, c.Announced, c.Crashed = time.Time{}, now, true, now
 	case "normal":
 		c.Draining, c.ZoneOut, c.Shedding, c.Truncating, c.LyingHealth = time.Time{}, time.Time{}, false, false, false
 	default:
--- a/internal/standin/backend/state_test.go
+++ b/internal/standin/backend/state_test.go
@@ -46,6 +46,21 @@
 	require.Equal(t, 1, s.record.Excused)
 }
 
+// Guards against flows from before a zone was withdrawn that fill the allowance
+// of its servers when it returns.
+func TestReturningZoneHasNoFlows(t *testing.T) {
+	s, c := newFlowState("line-01", time.Second, 64), &Condition{}
+	s.receive(segment(wire.Segment{SYN: true, Seq: 7}), c, start)
+	out, err := c.apply("zone-out", start)
+	require.NoError(t, err)
+	in, err := out.apply("zone-in", start.Add(time.Second))
+	require.NoError(t, err)
+	s.observe(&in)
+	s.receive(segment(wire.Segment{SYN: true, Seq: 9}), &in, start.Add(time.Second))
+	require.Zero(t, s.record.ColdExcess)
+	require.Len(t, in.Excuses, 1)
+}
+
 // Guards against feed messages that skip ahead although the caller has not
 // received the last one.
 func TestPushRepeatsUntilAcknowledged(t *testing.T) {
