--- a/internal/core/request/slots.go
+++ b/internal/core/request/slots.go
@@ -261,8 +261,8 @@
 }
 
 // lentServer returns a server that another instance lends a slot of, if this
-// instance's view has nothing against it. A cold server is usable: its home
-// lends within the allowance.
+// instance's view has nothing against it. A cold server and one of another zone
+// are usable: the lender's view decides about them.
 func (e *Engine) lentServer(id model.ServerID) (*view.Server, bool) {
 	if e.view == nil {
 		return nil, false
@@ -271,7 +271,11 @@
 	if s == nil || s.State != model.ServerActive || s.Warmth == view.Failed {
 		return s, false
 	}
-	return s, s.NewWork || s.Reason == model.ReasonServerCold || s.Reason == model.ReasonNone
+	switch s.Reason {
+	case model.ReasonNone, model.ReasonServerCold, model.ReasonOtherZone:
+		return s, true
+	}
+	return s, s.NewWork
 }
 
 func (e *Engine) member(id model.InstanceID) *model.Member {
