Test notes, membership, pauses, cold start and slots on a simulated fleet

A property test found that a warm server that turned cold got its home instance's allowance in addition to the shares of instances that had not learned it yet (5 slots in use of 4). The home instance now leaves such a server alone for ColdQuiet (3 s).

--- a/internal/control/fleet_test.go
+++ b/internal/control/fleet_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
 
 	"github.com/savorytiller/savorytiller/internal/core/model"
 )
@@ -32,3 +33,230 @@
 		require.Empty(t, n.m.status().Conflict)
 	}
 }
+
+// noRevert fails if an instance's version falls within one run, or if a view
+// carries an older configuration than the one before.
+func noRevert(t require.TestingT, s *sim) {
+	type seen struct {
+		run  *machine
+		v    model.Version
+		view model.Version
+	}
+	last := map[model.InstanceID]seen{}
+	s.after = func(n *simNode) {
+		before, now := last[n.self.ID], seen{run: n.m, v: n.m.version()}
+		if n.view != nil && n.view.Config != nil {
+			now.view = n.view.Config.Version
+		}
+		if before.run == n.m {
+			require.GreaterOrEqual(t, now.v, before.v, "version in force at %s", n.self.ID)
+			require.GreaterOrEqual(t, now.view, before.view, "version in the view of %s", n.self.ID)
+		}
+		last[n.self.ID] = now
+	}
+}
+
+// Guards against a note that reverts anywhere: notes arrive late, twice and out
+// of order, the service serves old values, instances restart and pause, links
+// lose messages and zones are split and healed.
+func TestNeverRevertsUnderFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newSim(rapid.Uint64().Draw(t, "seed"))
+		noRevert(t, s)
+		s.publish(firstBody(2, "a", "b"))
+		s.fleet(3, "a", "b")
+		s.run(4 * time.Second)
+		old := s.svc.snapshot()
+		for range rapid.IntRange(5, 25).Draw(t, "steps") {
+			n := s.nodes[rapid.SampledFrom(s.ids).Draw(t, "node")]
+			switch rapid.IntRange(0, 8).Draw(t, "step") {
+			case 0, 1:
+				s.publish(weightBody("a-s0", "a", 5000, rapid.IntRange(1, 1000).Draw(t, "weight")))
+			case 2:
+				s.svc.stale = old
+				s.changed()
+			case 3:
+				s.svc.down = !s.svc.down
+				s.changed()
+			case 4:
+				n.crash()
+				s.at(time.Duration(rapid.IntRange(10, 5000).Draw(t, "down"))*time.Millisecond, func() {
+					if !n.up {
+						n.start()
+					}
+				})
+			case 5:
+				n.pause(time.Duration(rapid.IntRange(100, 6000).Draw(t, "pause")) * time.Millisecond)
+			case 6:
+				s.cut = func(a, b model.InstanceID) bool { return a[0] != b[0] }
+			case 7:
+				s.loss = rapid.SampledFrom([]float64{0, 0.05, 0.2}).Draw(t, "loss")
+			case 8:
+				// Every stored message again: offers of an old version.
+				if c := n.m.notes.config; c != nil {
+					answer := make(chan reply, 1)
+					n.deliver(evRequest{s.ids[0], &offer{Version: 1, Digest: 1, Note: Raw(old["release/1"])}, answer})
+				}
+			}
+			s.run(time.Duration(rapid.IntRange(0, 4000).Draw(t, "wait")) * time.Millisecond)
+		}
+		s.loss, s.cut, s.svc.stale, s.svc.down = 0, nil, nil, false
+		s.changed()
+		s.run(60 * time.Second)
+		for i, v := range s.versions() {
+			require.Equal(t, model.Version(s.svc.revision), v, "%s after healing", s.ids[i])
+		}
+	})
+}
+
+// Guards against a new instance that trusts a stale or missing service while
+// its peers know better.
+func TestJoinerNeverRevertsToStaleService(t *testing.T) {
+	for _, service := range []string{"down", "stale"} {
+		s := newSim(7)
+		s.publish(firstBody(2, "a", "b"))
+		old := s.svc.snapshot()
+		s.fleet(2, "a", "b")
+		s.run(3 * time.Second)
+		for w := 1; w <= 5; w++ {
+			s.publish(weightBody("a-s0", "a", 5000, w))
+			s.run(time.Second)
+		}
+		if s.svc.down = service == "down"; !s.svc.down {
+			s.svc.stale = old
+		}
+		s.changed()
+		n := s.add("b-9", "b")
+		first := model.Version(0)
+		s.after = func(at *simNode) {
+			if v := at.m.version(); at == n && first == 0 {
+				first = v
+			}
+		}
+		s.run(3 * time.Second)
+		require.Equal(t, model.Version(6), n.m.version(), service)
+		require.Equal(t, model.Version(6), first, "the first version in force, service %s", service)
+		require.True(t, n.view.Ready())
+	}
+}
+
+// Guards against a crashed instance that stays an owner, or a restarted one
+// that stays excluded.
+func TestMembershipAfterCrashAndRestart(t *testing.T) {
+	for _, perZone := range []int{2, 10} {
+		s := newSim(3)
+		s.fleet(perZone, "a", "b", "c")
+		s.run(5 * time.Second)
+		gone := s.nodes["b-2"]
+		gone.crash()
+		s.run(5 * time.Second)
+		for _, id := range s.ids {
+			if s.nodes[id].up {
+				m, _ := s.nodes[id].view.Members.Get("b-2")
+				require.Nil(t, m, "%s still uses the crashed instance", id)
+				require.Len(t, s.nodes[id].view.Members.All(), 3*perZone-1)
+			}
+		}
+		gone.start()
+		s.run(6 * time.Second)
+		for _, id := range s.ids {
+			m, _ := s.nodes[id].view.Members.Get("b-2")
+			require.NotNil(t, m, "%s misses the restarted instance", id)
+			require.Equal(t, gone.self.Incarnation, m.Incarnation)
+		}
+	}
+}
+
+// Guards against a paused process that acts on its old view when it resumes,
+// that believes its peers dead because of its own pause, or that stays excluded.
+func TestPausedProcessRevalidates(t *testing.T) {
+	s := newSim(5)
+	s.publish(firstBody(2, "a", "b"))
+	s.fleet(3, "a", "b")
+	s.run(5 * time.Second)
+	n := s.nodes["a-1"]
+	s.at(0, func() { n.pause(20 * time.Second) })
+	s.run(10 * time.Second)
+	m, _ := s.nodes["b-1"].view.Members.Get("a-1")
+	require.Nil(t, m, "a paused instance is no owner")
+	require.False(t, n.view.Fresh(s.now))
+	s.publish(weightBody("a-s0", "a", 5000, 9))
+	s.after = func(at *simNode) {
+		if at == n && n.view.Fresh(s.now) {
+			require.Equal(t, model.Version(2), n.view.Config.Version, "view after the pause")
+		}
+	}
+	s.run(12 * time.Second)
+	require.True(t, n.view.Fresh(s.now))
+	require.Len(t, n.view.Members.All(), 6)
+	require.Equal(t, uint64(1), n.m.count.Pauses)
+	s.run(5 * time.Second)
+	m, _ = s.nodes["b-1"].view.Members.Get("a-1")
+	require.NotNil(t, m)
+	for _, id := range s.ids {
+		require.Len(t, s.nodes[id].view.Members.All(), 6, "%s", id)
+	}
+}
+
+// Guards against a resumed process that waits for ever when nobody answers.
+func TestPausedProcessContinuesAloneAfterOneSecond(t *testing.T) {
+	s := newSim(5)
+	s.publish(firstBody(2, "a"))
+	s.fleet(3, "a")
+	s.run(5 * time.Second)
+	n := s.nodes["a-1"]
+	s.at(0, func() { n.pause(4 * time.Second) })
+	s.run(3 * time.Second)
+	s.svc.down = true
+	s.cut = func(a, b model.InstanceID) bool { return a == "a-1" || b == "a-1" }
+	s.run(1900 * time.Millisecond)
+	require.False(t, n.view.Fresh(s.now), "the view is valid before the wait has ended")
+	s.run(400 * time.Millisecond)
+	require.True(t, n.view.Fresh(s.now))
+}
+
+// Guards against instances that disagree after a partition has healed, and
+// against a side that stops while it lasts.
+func TestPartitionContinuesAndHeals(t *testing.T) {
+	s := newSim(11)
+	s.publish(firstBody(2, "a", "b"))
+	s.fleet(4, "a", "b")
+	s.run(5 * time.Second)
+	s.cut = func(a, b model.InstanceID) bool { return a[0] != b[0] }
+	s.svc.down = true
+	s.changed()
+	s.run(30 * time.Second)
+	for _, id := range s.ids {
+		v := s.nodes[id].view
+		require.True(t, v.Fresh(s.now) && v.Ready(), "%s stopped", id)
+		require.Equal(t, 4, len(v.Members.All()), "%s", id)
+	}
+	s.cut, s.svc.down = nil, false
+	s.publish(weightBody("a-s0", "a", 5000, 9))
+	s.run(15 * time.Second)
+	for _, id := range s.ids {
+		require.Len(t, s.nodes[id].view.Members.All(), 8, "%s", id)
+		require.Equal(t, model.Version(2), s.nodes[id].m.version())
+	}
+}
+
+// Guards against a leaving instance that still gets new work or is lost before
+// it has exited.
+func TestLeavingInstanceIsAnnounced(t *testing.T) {
+	s := newSim(2)
+	s.publish(firstBody(2, "a"))
+	s.fleet(4, "a", "b")
+	s.run(5 * time.Second)
+	s.nodes["a-2"].deliver(evLeave{})
+	require.True(t, s.nodes["a-2"].view.ShuttingDown)
+	for _, server := range s.nodes["a-2"].view.Servers {
+		require.False(t, server.NewWork)
+	}
+	s.run(3 * time.Second)
+	for _, id := range s.ids {
+		m, ok := s.nodes[id].view.Members.Get("a-2")
+		require.True(t, ok)
+		require.Equal(t, model.Leaving, m.Liveness, "%s", id)
+		require.Equal(t, 3, s.nodes[id].view.Members.LiveIn("a"))
+	}
+}
--- a/internal/control/machine.go
+++ b/internal/control/machine.go
@@ -81,6 +81,7 @@
 	contact      model.Time // last answer of the service or a peer
 	pauses       int
 	revalidating bool
+	confirmed    bool // the newest version was asked for after the last pause
 	revalidateBy model.Time
 	count        counts
 }
@@ -172,7 +173,7 @@
 	m.now = now
 	m.count.Pauses++
 	m.pauses++
-	m.revalidating, m.revalidateBy = true, now.Add(revalidateLimit)
+	m.revalidating, m.confirmed, m.revalidateBy = true, false, now.Add(revalidateLimit)
 	m.servers.ignoreUntil = now.Add(revalidateLimit)
 	m.o.Log.Info("process was paused", "gap", now.Sub(m.last).String())
 	asked := 0
@@ -183,14 +184,22 @@
 		}
 	}
 	if asked == 0 {
-		m.revalidateBy = now // nobody to ask
+		m.askService()
 	}
 }
 
-// revalidated ends the wait after a pause once the newest version that a peer
+// answered takes an answer to a question from before or after a number of
+// pauses. Only a question that was asked after the last pause confirms the
+// newest version: other answers may have waited in a queue during the pause.
+func (m *machine) answered(pauses int) {
+	m.confirmed = m.confirmed || pauses == m.pauses
+	m.revalidated()
+}
+
+// revalidated ends the wait after a pause once the newest version that was
 // named is in force.
 func (m *machine) revalidated() {
-	if m.revalidating && m.version() >= m.notes.wanted {
+	if m.revalidating && m.confirmed && m.version() >= m.notes.wanted {
 		m.revalidating = false
 		m.renewAt = m.now
 	}
--- a/internal/control/notes.go
+++ b/internal/control/notes.go
@@ -75,6 +75,8 @@
 	refusedAt  model.Time
 	conflict   string
 	appliedAt  model.Time
+	extra      bool          // a read of release/latest outside the plan is running
+	askedAfter int           // number of pauses before the last read of release/latest
 	checkedFor model.Version // version for which no checkpoint exists
 }
 
@@ -118,13 +120,26 @@
 		m.count.Watches++
 		m.effects = append(m.effects, effWatch{m.notes.revision})
 	case actionRead:
-		m.count.Reads++
-		m.effects = append(m.effects, effRead{keyLatest})
+		m.readLatest()
 	default:
 		m.wake(at)
 	}
 }
 
+func (m *machine) readLatest() {
+	m.count.Reads++
+	m.notes.askedAfter = m.pauses
+	m.effects = append(m.effects, effRead{keyLatest})
+}
+
+// askService reads the newest version after a pause, if the budget allows it.
+func (m *machine) askService() {
+	if ok, _ := m.reader.Spend(m.now, m.input()); ok {
+		m.notes.extra = true
+		m.readLatest()
+	}
+}
+
 func (m *machine) handleWatched(e evWatched) {
 	m.reader.Done(m.now, e.err == nil)
 	if e.err == nil {
@@ -149,7 +164,6 @@
 		m.conflict(fmt.Sprintf("the service names version %d with digest %016x, in force is %016x",
 			latest.Version, latest.Digest, n.config.Digest))
 	}
-	m.revalidated()
 }
 
 // advance starts the next transfer if a newer version is known.
@@ -216,9 +230,14 @@
 func (m *machine) handleRead(e evRead) {
 	n := &m.notes
 	if e.key == keyLatest {
-		m.reader.Done(m.now, e.err == nil)
+		if n.extra {
+			n.extra = false // the reader did not plan this read
+		} else {
+			m.reader.Done(m.now, e.err == nil)
+		}
 		if e.err == nil {
 			m.latest(e.value)
+			m.answered(n.askedAfter)
 		}
 		return
 	}
@@ -358,7 +377,7 @@
 	n.wanted = max(n.wanted, c.Version)
 	n.holders = slices.DeleteFunc(n.holders, func(model.Member) bool { return n.wanted <= c.Version })
 	m.store(c.Version, base, raw)
-	m.health.SetConfig(c)
+	m.health.SetConfig(m.now, c)
 	m.pub.setConfig(c, m.now)
 	m.refreshHomes()
 	m.rebuild = true
--- a/internal/control/peers.go
+++ b/internal/control/peers.go
@@ -55,7 +55,6 @@
 			}
 			if err == nil {
 				m.heard(result)
-				m.revalidated()
 			}
 			if done != nil {
 				done(err == nil)
@@ -65,6 +64,9 @@
 	inner := last.done
 	last.done = func(m *machine, err error) {
 		inner(m, err)
+		if err == nil {
+			m.answered(last.pauses)
+		}
 		if err != nil && last.pauses == m.pauses && !errors.Is(err, errBusy) {
 			m.probeFailed(to)
 		}
@@ -114,7 +116,7 @@
 	if h.Age >= 0 {
 		m.sourceSeen = max(m.sourceSeen, m.now.Add(-time.Duration(h.Age)*time.Millisecond))
 	}
-	m.health.Merge(h.Records)
+	m.health.Merge(m.now, h.Records)
 	m.servers.witness.Recover(m.now, h.Claims, h.Self.ID, h.Self.Incarnation)
 	if h.Self.Zone == m.o.Self.Zone {
 		m.compareHealth(h)
--- a/internal/control/servers.go
+++ b/internal/control/servers.go
@@ -341,7 +341,7 @@
 		done: func(m *machine, err error) {
 			m.servers.fetching = false
 			if err == nil {
-				m.health.Merge(answer.Records)
+				m.health.Merge(m.now, answer.Records)
 			}
 		}})
 }
--- a/internal/core/health/health.go
+++ b/internal/core/health/health.go
@@ -49,6 +49,10 @@
 	// Settle is the time between the home instance's step back to its share
 	// and its announcement that the server is warm, so that the two do not add up.
 	Settle = time.Second
+	// ColdQuiet is the time after a warm server turned cold in which its home
+	// instance leaves it alone, so that the others have learned it and their
+	// shares do not add to the allowance.
+	ColdQuiet = 3 * time.Second
 	// minRetry and maxRetry bound the pause before a failed server is tried again.
 	minRetry = time.Second
 	maxRetry = 30 * time.Second
@@ -80,6 +84,7 @@
 	progress float64
 	settle   model.Time // when the home instance announces it as warm; 0 for not yet
 	retryAt  model.Time // no new work before; 0 unless failed
+	quiet    model.Time // no new work before, because others may still use their share
 	backoff  time.Duration
 	recent   uint16 // bad observations, newest in the lowest bit
 	seen     uint8
@@ -113,7 +118,7 @@
 
 // SetConfig takes a new configuration. New servers are cold; servers whose
 // zone is withdrawn, or whose address or service changes, become cold.
-func (t *Table) SetConfig(c *model.Configuration) {
+func (t *Table) SetConfig(now model.Time, c *model.Configuration) {
 	out := c.Withdrawn(t.zone)
 	present := make(map[model.ServerID]bool, len(t.servers))
 	for i := range c.Services {
@@ -129,7 +134,7 @@
 				t.servers[next.ID] = s
 			} else if s.service != c.Services[i].ID || s.config.FlowAddress != next.FlowAddress ||
 				s.config.RequestAddress != next.RequestAddress || out && !s.out {
-				t.reset(s)
+				t.reset(now, s)
 			}
 			s.config, s.service, s.out = *next, c.Services[i].ID, out
 		}
@@ -143,7 +148,10 @@
 	t.changed = true
 }
 
-func (t *Table) reset(s *server) {
+func (t *Table) reset(now model.Time, s *server) {
+	if s.record.Warm {
+		s.quiet = now.Add(ColdQuiet)
+	}
 	if s.record.Warm || s.record.Epoch > 0 {
 		t.update(s, Record{Server: s.record.Server, Epoch: s.record.Epoch + 1})
 	}
@@ -339,7 +347,7 @@
 	t.demotions = append(t.demotions, now)
 	home := s.home
 	s.cool()
-	s.home = home
+	s.home, s.quiet = home, now.Add(ColdQuiet)
 	t.update(s, Record{Server: s.record.Server, Epoch: s.record.Epoch + 1, Draining: s.record.Draining})
 }
 
@@ -390,6 +398,10 @@
 			s.distrust = 0
 			t.changed = true
 		}
+		if s.quiet != 0 && !now.Before(s.quiet) {
+			s.quiet = 0
+			t.changed = true
+		}
 		if s.retryAt != 0 && !now.Before(s.retryAt) && now.Sub(s.retryAt) < 2*time.Second {
 			t.changed = true
 		}
@@ -397,7 +409,7 @@
 }
 
 // Merge takes records of other instances.
-func (t *Table) Merge(records []Record) {
+func (t *Table) Merge(now model.Time, records []Record) {
 	for _, r := range records {
 		s, ok := t.servers[r.Server]
 		if !ok || s.out || r.Epoch < s.record.Epoch ||
@@ -410,6 +422,9 @@
 			home := s.home
 			s.cool()
 			s.home = home
+			if !r.Warm {
+				s.quiet = now.Add(ColdQuiet)
+			}
 		}
 	}
 }
@@ -523,6 +538,8 @@
 		st.State, st.Reason = Failed, model.ReasonServerFailed
 	case s.record.Warm:
 		st.State, st.NewWork = Warm, true
+	case now.Before(s.quiet):
+		st.Reason = model.ReasonServerCold
 	case s.settle != 0:
 		// The home instance keeps its share only; control divides it.
 		st.State, st.Alone, st.NewWork = Warming, false, s.home
