--- a/internal/standin/load/feed.go
+++ b/internal/standin/load/feed.go
@@ -44,6 +44,8 @@
 	ended      time.Time
 	messages   int
 	longestGap time.Duration
+	// conn is closed by the ledger at the end of the run.
+	conn *net.UDPConn
 }
 
 // feed is one open feed with its own socket.
@@ -63,7 +65,10 @@
 	if err != nil {
 		return f.result
 	}
-	defer conn.Close()
+	// The socket stays open: if the system gave its port to a later feed or
+	// server while a backend server still pushes to it, that would look like a
+	// flow that moved.
+	f.result.conn = conn
 	f.conn, f.source = conn, conn.LocalAddr().(*net.UDPAddr).AddrPort()
 	f.result.source = f.source.String()
 	if f.open() {
@@ -74,9 +79,10 @@
 		}
 		f.result.end = f.hold(ctx)
 		f.result.ended = time.Now()
-		if f.result.end == feedClosed {
+		if f.result.end != feedReset {
 			f.close()
 		}
+		return f.result
 	}
 	f.result.ended = time.Now()
 	return f.result
--- a/internal/standin/load/judge.go
+++ b/internal/standin/load/judge.go
@@ -27,13 +27,13 @@
 	for i := range l.operations {
 		r.judgeOperation(&l.operations[i], runs)
 	}
-	ended := map[string]time.Time{}
+	feeds := map[string]*feedResult{}
 	for i := range l.feeds {
-		ended[l.feeds[i].source] = l.feeds[i].ended
+		feeds[l.feeds[i].source] = &l.feeds[i]
 	}
 	for i := range records {
 		r.judgeServer(&records[i])
-		r.judgeUnknown(&records[i], ended)
+		r.judgeUnknown(&records[i], feeds)
 	}
 	r.Imbalance = imbalance(d, records)
 	r.judgeService(d)
@@ -62,8 +62,8 @@
 			continue
 		}
 		r.Feeds.Broken[string(f.end)]++
-		r.violate(PromisePlannedChange, "feed of %s at %s: %s at %.1f s after %d messages", f.service, f.server, f.end,
-			f.ended.Sub(r.start).Seconds(), f.messages)
+		r.violate(PromisePlannedChange, "feed of %s at %s: %s at %.1f s, opened at %.1f s, after %d messages", f.service, f.server, f.end,
+			f.ended.Sub(r.start).Seconds(), f.opened.Sub(r.start).Seconds(), f.messages)
 	}
 }
 
@@ -175,13 +175,17 @@
 
 // judgeUnknown reports resets that no caller saw. The reset of a feed that the
 // caller saw broken is judged there; packets after a feed has ended do no harm.
-func (r *Report) judgeUnknown(s *backend.Record, ended map[string]time.Time) {
+func (r *Report) judgeUnknown(s *backend.Record, feeds map[string]*feedResult) {
 	for _, packet := range s.Flows.Broken {
-		end, known := ended[packet.Source]
-		if known && packet.At >= end.Add(-unknownMargin).UnixNano() {
-			continue
+		f, known := feeds[packet.Source]
+		at := time.Unix(0, packet.At)
+		switch {
+		case !known:
+			r.violate(PromisePlannedChange, "%s: packet of no known feed from %s at %.1f s", s.ID, packet.Source, at.Sub(r.start).Seconds())
+		case at.Before(f.ended.Add(-unknownMargin)):
+			r.violate(PromisePlannedChange, "%s: reset at %.1f s of the feed of %s at %s, open from %.1f to %.1f s", s.ID,
+				at.Sub(r.start).Seconds(), f.service, f.server, f.opened.Sub(r.start).Seconds(), f.ended.Sub(r.start).Seconds())
 		}
-		r.violate(PromisePlannedChange, "%s: reset of an open flow from %s", s.ID, packet.Source)
 	}
 }
 
--- a/internal/standin/load/ledger.go
+++ b/internal/standin/load/ledger.go
@@ -39,6 +39,15 @@
 	}
 }
 
+// close closes the sockets of all feeds.
+func (l *ledger) close() {
+	for i := range l.feeds {
+		if l.feeds[i].conn != nil {
+			_ = l.feeds[i].conn.Close()
+		}
+	}
+}
+
 func (l *ledger) addOperation(r operationResult) {
 	l.operations = append(l.operations, r)
 	at := int(r.started.Sub(l.start) / time.Second)
--- a/internal/standin/load/load.go
+++ b/internal/standin/load/load.go
@@ -95,6 +95,7 @@
 	l.workers.Wait()
 	close(l.results)
 	<-collected
+	defer ledger.close()
 	time.Sleep(settle)
 	records, err := l.records(ctx)
 	if err != nil {
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -186,7 +186,21 @@
     start_instance "${instances[$i]}" "$zone"
   done
   for i in "${instances[@]}"; do wait_ready "$i"; done
-  sleep 1.5 # the instance list lags by 1 s
+  await_members
+}
+
+# await_members waits until every instance holds all others live, as in a fleet
+# that has been running for a while.
+await_members() {
+  local id live
+  for id in "${instances[@]}"; do
+    for _ in $(seq 150); do
+      live=$(call GET "http://$(field "$work/$id.addresses" operators)/status" | grep -o '"liveness": *"live"' | wc -l)
+      if [ "$live" = "${#instances[@]}" ]; then continue 2; fi
+      sleep 0.1
+    done
+    fail "$id holds $live instead of ${#instances[@]} instances live after 15 s"
+  done
 }
 
 start_load() { # SECONDS OPTIONS...
