--- a/cmd/savorytillerd/main.go
+++ b/cmd/savorytillerd/main.go
@@ -55,11 +55,26 @@
 			return exitFailed
 		}
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	if err := instance.Run(ctx); err != nil {
+	leave, stop := shutdownContexts()
+	if err := instance.Run(leave, stop); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitFailed
 	}
 	return 0
 }
+
+// shutdownContexts returns a context that the first SIGTERM or SIGINT ends, and
+// one that the second ends.
+func shutdownContexts() (leave, stop context.Context) {
+	leave, endLeave := context.WithCancel(context.Background())
+	stop, endStop := context.WithCancel(context.Background())
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-signals
+		endLeave()
+		<-signals
+		endStop()
+	}()
+	return leave, stop
+}
--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -4,52 +4,205 @@
 import (
 	"context"
 	"io"
+	"net/http"
 
+	"github.com/ansel1/merry/v2"
 	"github.com/go-logr/logr"
 
+	"github.com/savorytiller/savorytiller/internal/adapter/admin"
+	"github.com/savorytiller/savorytiller/internal/adapter/backendhttp"
 	"github.com/savorytiller/savorytiller/internal/adapter/clock"
+	"github.com/savorytiller/savorytiller/internal/adapter/geneve"
+	"github.com/savorytiller/savorytiller/internal/adapter/httpfront"
 	"github.com/savorytiller/savorytiller/internal/adapter/logging"
 	"github.com/savorytiller/savorytiller/internal/adapter/metrics"
+	"github.com/savorytiller/savorytiller/internal/adapter/peerrpc"
+	"github.com/savorytiller/savorytiller/internal/adapter/platform"
 	"github.com/savorytiller/savorytiller/internal/adapter/settings"
+	"github.com/savorytiller/savorytiller/internal/control"
+	"github.com/savorytiller/savorytiller/internal/core/model"
+	"github.com/savorytiller/savorytiller/internal/core/placement"
+	"github.com/savorytiller/savorytiller/internal/core/request"
+	"github.com/savorytiller/savorytiller/internal/port"
+	"github.com/savorytiller/savorytiller/internal/traffic/flows"
+	"github.com/savorytiller/savorytiller/internal/traffic/requests"
 )
 
-// Instance is an entry instance with its open sockets.
+// ErrStart means that a part could not be created.
+var ErrStart = merry.Sentinel("cannot start")
+
+// Instance is an entry instance with its open sockets and its parts.
 type Instance struct {
-	settings *settings.Settings
-	log      logr.Logger
-	clock    *clock.System
-	recorder *metrics.Recorder
-	sockets  *sockets
+	settings  *settings.Settings
+	logs      *logging.Logs
+	log       logr.Logger
+	clock     *clock.System
+	recorder  *metrics.Recorder
+	sockets   *sockets
+	peers     *peerrpc.Node
+	control   *control.Control
+	flows     *flows.Pool
+	backends  *backendhttp.Client
+	requests  *requests.Worker
+	front     *httpfront.Server
+	operators *http.Server
 }
 
-// New opens the sockets of an instance. Logs go to w.
+// New opens the sockets of an instance and creates its parts. Logs go to w.
+// Nothing runs before Run.
 func New(s *settings.Settings, w io.Writer) (*Instance, error) {
 	logs, err := logging.New(w, s.Log.Level)
 	if err != nil {
-		return nil, err
+		return nil, merry.Wrap(ErrStart, merry.WithCause(err))
 	}
 	opened, err := openSockets(s)
 	if err != nil {
 		return nil, err
 	}
-	return &Instance{
+	i := &Instance{
 		settings: s,
+		logs:     logs,
 		log:      logs.Part("entry"),
 		clock:    clock.NewSystem(),
 		recorder: metrics.New(s.Metrics.Decisions),
 		sockets:  opened,
-	}, nil
+	}
+	for _, create := range []func() error{i.newPeers, i.newControl, i.newFlows, i.newRequests, i.newOperators} {
+		if err := create(); err != nil {
+			opened.close()
+			return nil, merry.Wrap(ErrStart, merry.WithCause(err), merry.AppendMessage(err.Error()))
+		}
+	}
+	return i, nil
 }
 
 // Addresses returns the endpoints with the ports that the system chose.
 func (i *Instance) Addresses() Addresses { return i.sockets.addresses }
 
-// Run serves until the context ends.
-func (i *Instance) Run(ctx context.Context) error {
-	i.log.Info("instance is listening", "id", i.settings.Instance.ID, "zone", i.settings.Instance.Zone,
-		"addresses", i.Addresses())
-	<-ctx.Done()
-	i.sockets.close()
-	i.log.Info("instance has stopped")
+// self returns this instance as other instances see it.
+func (i *Instance) self() model.Member {
+	a := i.Addresses()
+	return model.Member{ID: i.settings.Instance.ID, Zone: i.settings.Instance.Zone, Incarnation: i.clock.Incarnation(),
+		FlowAddress: a.Flows, PeerAddress: a.Peers, RequestAddress: a.Requests}
+}
+
+// seed returns a start for random choices that differs between processes.
+func (i *Instance) seed() uint64 {
+	return placement.Mix(placement.HashString(string(i.settings.Instance.ID)), uint64(i.clock.Incarnation()))
+}
+
+func (i *Instance) newPeers() (err error) {
+	o := peerrpc.Options{Self: peerrpc.Identity{ID: i.settings.Instance.ID, Incarnation: i.clock.Incarnation()}}
+	for _, k := range i.settings.PeerKeys {
+		o.Keys = append(o.Keys, peerrpc.Key{ID: k.ID, Secret: k.Secret})
+	}
+	i.peers, err = peerrpc.New(o)
+	return err
+}
+
+func (i *Instance) newControl() error {
+	client, err := platform.New(platform.Options{ConfigURL: i.settings.Platform.URL, InstancesURL: i.settings.Platform.URL})
+	if err != nil {
+		return err
+	}
+	i.control, err = control.New(control.Options{
+		Self:      i.self(),
+		Clock:     i.clock,
+		Config:    client,
+		Instances: client,
+		Codec:     platform.Codec{},
+		Peers:     i.peers,
+		Recorder:  i.recorder,
+		Log:       i.logs.Part("control"),
+		Seed:      i.seed(),
+	})
+	if err != nil {
+		return err
+	}
+	i.control.Register(i.peers)
+	return nil
+}
+
+func (i *Instance) newFlows() error {
+	var keys []geneve.Key
+	for _, k := range i.settings.PeerKeys {
+		keys = append(keys, geneve.Key{ID: k.ID, Secret: k.Secret})
+	}
+	i.flows = flows.New(flows.Options{
+		Shards:      i.settings.Flows.Shards,
+		QueueLength: i.settings.Flows.QueuePackets,
+		MaxFlows:    i.settings.Flows.Shards * i.settings.Flows.TableEntries,
+		Self:        i.Addresses().Flows,
+		Incarnation: i.clock.Incarnation(),
+		Peers:       i.peers,
+		Views:       i.control,
+		Clock:       i.clock,
+		Sender:      i.sockets.flows,
+		Recorder:    i.recorder,
+		NewCodec: func() port.FlowCodec {
+			return geneve.NewCodec(geneve.Options{Self: i.Addresses().Flows, Keys: keys})
+		},
+		Observe: observeFlows(i.control),
+	})
+	i.peers.Handle(flows.MethodRecords, i.flows.HandleRecords)
 	return nil
 }
+
+func (i *Instance) newRequests() (err error) {
+	s := &i.settings.Requests
+	i.backends = backendhttp.New(backendhttp.Options{Clock: i.clock})
+	i.requests = requests.New(requests.Options{
+		Clock:    i.clock,
+		Views:    i.control,
+		Peers:    i.peers,
+		Backends: i.backends,
+		Health:   requestObserver{i.control},
+		Recorder: i.recorder,
+		Config: request.Config{
+			QueueWait:     s.QueueWait,
+			QueueLength:   s.QueueLength,
+			MaxKeys:       s.DedupKeys,
+			TenantBytes:   s.TenantBytes,
+			InstanceBytes: s.InFlightBytes,
+			LeaveGrace:    i.settings.Shutdown.Notice,
+		},
+		Seed: i.seed(),
+	})
+	for method, handler := range i.requests.Handlers() {
+		i.peers.Handle(method, handler)
+	}
+	i.front, err = httpfront.New(httpfront.Options{Handler: i.requests, MaxConnections: s.MaxConnections})
+	return err
+}
+
+func (i *Instance) newOperators() error {
+	i.operators = admin.Source{
+		Clock:     i.clock,
+		Views:     i.control,
+		Metrics:   i.metrics,
+		Decisions: i.recorder.Decisions,
+		Status:    i.status,
+		Explain:   i.explain,
+	}.Server()
+	return nil
+}
+
+// part is a piece of the instance that runs until its context ends.
+type part struct {
+	name string
+	run  func(ctx context.Context) error
+}
+
+func (i *Instance) parts() []part {
+	return []part{
+		{"control", i.control.Run},
+		{"peer", func(ctx context.Context) error { return i.peers.Serve(ctx, i.sockets.peers) }},
+		{"flow workers", func(ctx context.Context) error { i.flows.Run(ctx); return nil }},
+		{"flow socket", func(ctx context.Context) error {
+			return i.sockets.flows.Serve(ctx, i.flows.NewReader().Receive)
+		}},
+		{"request worker", i.requests.Run},
+		{"request front end", func(context.Context) error { return i.front.Serve(i.sockets.requests) }},
+		{"operators", func(context.Context) error { return admin.Serve(i.operators, i.sockets.operators) }},
+	}
+}
--- a/internal/app/sockets.go
+++ b/internal/app/sockets.go
@@ -9,12 +9,16 @@
 
 	"github.com/ansel1/merry/v2"
 
+	"github.com/savorytiller/savorytiller/internal/adapter/geneve"
 	"github.com/savorytiller/savorytiller/internal/adapter/settings"
 )
 
 // ErrSocket means that a socket could not be opened.
 var ErrSocket = merry.Sentinel("cannot open socket")
 
+// addressesMode lets scripts of other users read the addresses.
+const addressesMode = 0o644
+
 // Addresses are the endpoints of a running instance as others reach them.
 type Addresses struct {
 	Flows     netip.AddrPort `json:"flows"`
@@ -35,6 +39,10 @@
 		return merry.Wrap(err)
 	}
 	_, err = partial.Write(append(data, '\n'))
+	if err == nil {
+		// CreateTemp makes the file readable for its owner only.
+		err = partial.Chmod(addressesMode)
+	}
 	if closeErr := partial.Close(); err == nil {
 		err = closeErr
 	}
@@ -50,7 +58,7 @@
 
 // sockets are the listening sockets of an instance.
 type sockets struct {
-	flows     *net.UDPConn
+	flows     *geneve.Socket
 	peers     net.Listener
 	requests  net.Listener
 	operators net.Listener
@@ -62,7 +70,7 @@
 func openSockets(s *settings.Settings) (*sockets, error) {
 	o := &sockets{}
 	var err error
-	if o.flows, err = net.ListenUDP("udp", net.UDPAddrFromAddrPort(s.Listen.Flows)); err != nil {
+	if o.flows, err = geneve.Listen(s.Listen.Flows); err != nil {
 		return nil, socketError("listen.flows", err)
 	}
 	for _, l := range []struct {
@@ -80,10 +88,10 @@
 		}
 	}
 	o.addresses = Addresses{
-		Flows:     advertised(s.Advertise.Flows, o.flows.LocalAddr()),
-		Peers:     advertised(s.Advertise.Peers, o.peers.Addr()),
-		Requests:  advertised(s.Advertise.Requests, o.requests.Addr()),
-		Operators: advertised(netip.AddrPort{}, o.operators.Addr()),
+		Flows:     advertised(s.Advertise.Flows, o.flows.Address()),
+		Peers:     advertised(s.Advertise.Peers, tcpAddress(o.peers)),
+		Requests:  advertised(s.Advertise.Requests, tcpAddress(o.requests)),
+		Operators: advertised(netip.AddrPort{}, tcpAddress(o.operators)),
 	}
 	return o, nil
 }
@@ -92,16 +100,11 @@
 	return merry.Wrap(ErrSocket, merry.WithCause(err), merry.AppendMessagef("%s: %v", key, err))
 }
 
+func tcpAddress(l net.Listener) netip.AddrPort { return l.Addr().(*net.TCPAddr).AddrPort() }
+
 // advertised returns the address that others use: the one from the settings,
 // with the port that the socket has where the settings leave it open.
-func advertised(set netip.AddrPort, local net.Addr) netip.AddrPort {
-	var bound netip.AddrPort
-	switch a := local.(type) {
-	case *net.UDPAddr:
-		bound = a.AddrPort()
-	case *net.TCPAddr:
-		bound = a.AddrPort()
-	}
+func advertised(set, bound netip.AddrPort) netip.AddrPort {
 	bound = netip.AddrPortFrom(bound.Addr().Unmap(), bound.Port())
 	switch {
 	case !set.IsValid():
