Read health endpoints, keep decisions of each part apart, show the age of notes

The demo's ordinary completions would have pushed refusals and broken flows out of the list of recent decisions within a second; each part now has its own ring, and decisions without a reason are not kept. The two byte budgets of flows leave the settings, because core/flow sets them itself and a setting without effect misleads.

--- a/internal/adapter/admin/types.go
+++ b/internal/adapter/admin/types.go
@@ -40,9 +40,18 @@
 type Note struct {
 	Version uint64 `json:"version"`
 	Digest  string `json:"digest"`
-	// AgeMs is the time since control last heard of the newest version, from
-	// the configuration service or a peer; -1 if it never has.
+	// Wanted is the highest version that the instance has heard of.
+	Wanted uint64 `json:"wanted"`
+	// AgeMs is the time since the configuration service or a peer last
+	// answered; -1 if control does not run yet.
 	AgeMs int64 `json:"age_ms"`
+	// SourceAgeMs is the time since any instance is known to have read the
+	// configuration service; -1 if control does not run yet.
+	SourceAgeMs int64 `json:"source_age_ms"`
+	// ListAgeMs is the time since the platform's instance list was read.
+	ListAgeMs int64 `json:"list_age_ms"`
+	// Watcher is true if this instance watches the configuration service.
+	Watcher bool `json:"watcher"`
 	// LastRefusal is the reason and detail of the last refused note.
 	LastRefusal string `json:"last_refusal,omitempty"`
 	// Alarm is set when two different notes have the same version.
--- /dev/null
+++ b/internal/adapter/healthhttp/healthhttp_test.go
@@ -0,0 +1,56 @@
+package healthhttp
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/savorytiller/savorytiller/internal/core/health"
+	"github.com/savorytiller/savorytiller/internal/core/model"
+	"github.com/savorytiller/savorytiller/internal/port"
+)
+
+// Guards against an endpoint whose wrong answer is taken for a state, exceeds
+// memory or stops the control goroutine's poll.
+func TestHealthOfAServer(t *testing.T) {
+	cases := []struct {
+		name, body string
+		status     int
+		report     health.Report
+		fails      bool
+	}{
+		{"warm", `{"state": "warm", "load": 0.25}`, 200, health.Report{State: health.EndpointWarm, Load: 0.25}, false},
+		{"cold", `{"state": "cold", "load": 0}`, 200, health.Report{State: health.EndpointCold}, false},
+		{"draining", `{"state": "draining", "load": 7}`, 200, health.Report{State: health.EndpointDraining, Load: 1}, false},
+		{"unknown state", `{"state": "fine", "load": -1}`, 200, health.Report{}, false},
+		{"error status", `{"state": "warm"}`, 500, health.Report{}, true},
+		{"redirect", ``, 302, health.Report{}, true},
+		{"not JSON", `warm`, 200, health.Report{}, true},
+		{"too long", `{"state": "` + strings.Repeat("x", 2*maxAnswer) + `"}`, 200, health.Report{}, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set("Location", "/elsewhere")
+				w.WriteHeader(c.status)
+				_, _ = io.WriteString(w, c.body)
+			}))
+			defer server.Close()
+			at := netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))
+			report, err := New().Health(t.Context(), model.Server{RequestAddress: at})
+			require.Equal(t, c.report, report)
+			if c.fails {
+				require.ErrorIs(t, err, port.ErrUnavailable)
+			} else {
+				require.NoError(t, err)
+			}
+		})
+	}
+	_, err := New().Health(t.Context(), model.Server{RequestAddress: netip.MustParseAddrPort("127.0.0.1:1")})
+	require.ErrorIs(t, err, port.ErrUnavailable)
+}
--- a/internal/adapter/metrics/metrics.go
+++ b/internal/adapter/metrics/metrics.go
@@ -36,19 +36,21 @@
 	mu         sync.Mutex // guards histograms
 	histograms map[histogramKey]gometrics.Histogram
 
-	ring ring
+	capacity int
+	rings    sync.Map // part name to *ring
 }
 
 type histogramKey struct{ metric, tenant, class string }
 
 var _ port.Recorder = (*Recorder)(nil)
 
-// New returns a recorder that keeps the last capacity decisions.
+// New returns a recorder that keeps the last capacity decisions of each part, so
+// that many decisions of one part do not push out those of another.
 func New(capacity int) *Recorder {
 	return &Recorder{
 		registry:   gometrics.NewRegistry(),
 		histograms: map[histogramKey]gometrics.Histogram{},
-		ring:       ring{entries: make([]port.Decision, capacity)},
+		capacity:   capacity,
 	}
 }
 
@@ -105,11 +107,29 @@
 	return h
 }
 
-// Decision keeps one decision; the oldest one is dropped.
-func (r *Recorder) Decision(d port.Decision) { r.ring.add(d) }
+// Decision keeps one decision; the oldest one of its part is dropped. Decisions
+// with ReasonNone are the ordinary case and need no explanation.
+func (r *Recorder) Decision(d port.Decision) {
+	if d.Reason == model.ReasonNone {
+		return
+	}
+	kept, ok := r.rings.Load(d.Part)
+	if !ok {
+		kept, _ = r.rings.LoadOrStore(d.Part, &ring{entries: make([]port.Decision, r.capacity)})
+	}
+	kept.(*ring).add(d)
+}
 
 // Decisions returns the kept decisions, oldest first.
-func (r *Recorder) Decisions() []port.Decision { return r.ring.list() }
+func (r *Recorder) Decisions() []port.Decision {
+	var all []port.Decision
+	r.rings.Range(func(_, kept any) bool {
+		all = append(all, kept.(*ring).list()...)
+		return true
+	})
+	sort.SliceStable(all, func(i, j int) bool { return all[i].At < all[j].At })
+	return all
+}
 
 // Counter is the value of one counter.
 type Counter struct {
@@ -173,7 +193,7 @@
 	}
 }
 
-// ring holds the last decisions.
+// ring holds the last decisions of a part.
 type ring struct {
 	mu      sync.Mutex
 	entries []port.Decision
@@ -184,9 +204,6 @@
 func (r *ring) add(d port.Decision) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if len(r.entries) == 0 {
-		return
-	}
 	r.entries[r.next] = d
 	r.next++
 	if r.next == len(r.entries) {
--- a/internal/adapter/metrics/metrics_test.go
+++ b/internal/adapter/metrics/metrics_test.go
@@ -12,19 +12,25 @@
 	"github.com/savorytiller/savorytiller/internal/port"
 )
 
-// Guards against a list of decisions that grows with traffic, and against one
-// that loses the order or the newest entries when it wraps.
+// Guards against a list of decisions that grows with traffic, against one that
+// loses the order or the newest entries when it wraps, and against a busy part
+// that pushes out the decisions of another.
 func TestDecisionsAreBoundedAndInOrder(t *testing.T) {
 	r := New(4)
 	require.Empty(t, r.Decisions())
 	for i := range 11 {
-		r.Decision(port.Decision{At: model.Time(i)})
+		r.Decision(port.Decision{At: model.Time(i), Part: "request", Reason: model.ReasonOverloaded})
+		r.Decision(port.Decision{At: 1000, Part: "request"})
 		got := r.Decisions()
 		require.Len(t, got, min(i+1, 4))
 		for j, d := range got {
 			require.Equal(t, model.Time(i-len(got)+1+j), d.At)
 		}
 	}
+	r.Decision(port.Decision{At: 5, Part: "control", Reason: model.ReasonNoteApplied})
+	got := r.Decisions()
+	require.Len(t, got, 5)
+	require.Equal(t, "control", got[0].Part, "decisions are in order of time")
 }
 
 // Guards against two parts or reasons that share a counter, and against lost
--- a/internal/adapter/operatorcli/show.go
+++ b/internal/adapter/operatorcli/show.go
@@ -37,11 +37,9 @@
 	}
 	fmt.Fprintf(w, "instance   %s in %s, %s, up %s\n", s.Instance.ID, s.Instance.Zone, ready, ms(s.Instance.UptimeMs))
 	fmt.Fprintf(w, "view       sequence %d, fresh for %s\n", s.View.Sequence, ms(s.View.FreshForMs))
-	age := "never confirmed"
-	if s.Note.AgeMs >= 0 {
-		age = "confirmed " + ms(s.Note.AgeMs) + " ago"
-	}
-	fmt.Fprintf(w, "note       version %d, digest %s, %s\n", s.Note.Version, s.Note.Digest, age)
+	fmt.Fprintf(w, "note       version %d, digest %s, newest known version %d\n", s.Note.Version, s.Note.Digest, s.Note.Wanted)
+	fmt.Fprintf(w, "heard      platform or peer %s, platform by any instance %s, instance list %s\n",
+		ago(s.Note.AgeMs), ago(s.Note.SourceAgeMs), ago(s.Note.ListAgeMs))
 	if s.Note.LastRefusal != "" {
 		fmt.Fprintf(w, "refused    %s\n", s.Note.LastRefusal)
 	}
@@ -87,6 +85,14 @@
 	}
 }
 
+// ago prints the time since something happened; -1 means never.
+func ago(n int64) string {
+	if n < 0 {
+		return "never"
+	}
+	return ms(n) + " ago"
+}
+
 func ms(n int64) string { return (time.Duration(n) * time.Millisecond).String() }
 
 type membersCommand struct{}
--- a/internal/adapter/settings/fields.go
+++ b/internal/adapter/settings/fields.go
@@ -44,8 +44,6 @@
 	number("flows.shards", 2, 1, 64, func(s *Settings) *int { return &s.Flows.Shards }),
 	number("flows.table_entries", 262_144, 1024, 4_194_304, func(s *Settings) *int { return &s.Flows.TableEntries }),
 	number("flows.queue_packets", 4096, 64, 65_536, func(s *Settings) *int { return &s.Flows.QueuePackets }),
-	number("flows.exception_bytes_per_second", 2048, 0, 1_000_000, func(s *Settings) *int { return &s.Flows.ExceptionBytes }),
-	number("flows.hint_bytes_per_second", 2048, 0, 1_000_000, func(s *Settings) *int { return &s.Flows.HintBytes }),
 
 	number("requests.max_connections", 4096, 1, 65_536, func(s *Settings) *int { return &s.Requests.MaxConnections }),
 	number("requests.in_flight_bytes", 256<<20, 1<<20, 64<<30, func(s *Settings) *int64 { return &s.Requests.InFlightBytes }),
--- a/internal/adapter/settings/settings.go
+++ b/internal/adapter/settings/settings.go
@@ -61,9 +61,6 @@
 	TableEntries int
 	// QueuePackets is the number of packets that wait for each worker.
 	QueuePackets int
-	// ExceptionBytes and HintBytes are budgets in bytes per second.
-	ExceptionBytes int
-	HintBytes      int
 }
 
 // Requests bounds the request front end.
--- a/internal/adapter/settings/settings_test.go
+++ b/internal/adapter/settings/settings_test.go
@@ -31,7 +31,7 @@
 	s, err := Parse("a.toml", []byte(valid))
 	require.NoError(t, err)
 	require.Equal(t, 30*time.Second, s.Shutdown.Drain)
-	require.Equal(t, 2048, s.Flows.HintBytes)
+	require.Equal(t, 4096, s.Flows.QueuePackets)
 	require.EqualValues(t, 256<<20, s.Requests.InFlightBytes)
 	require.EqualValues(t, 12, s.PeerKeys[0].ID)
 	require.Equal(t, "info", s.Log.Level)
--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -13,6 +13,7 @@
 	"github.com/savorytiller/savorytiller/internal/adapter/backendhttp"
 	"github.com/savorytiller/savorytiller/internal/adapter/clock"
 	"github.com/savorytiller/savorytiller/internal/adapter/geneve"
+	"github.com/savorytiller/savorytiller/internal/adapter/healthhttp"
 	"github.com/savorytiller/savorytiller/internal/adapter/httpfront"
 	"github.com/savorytiller/savorytiller/internal/adapter/logging"
 	"github.com/savorytiller/savorytiller/internal/adapter/metrics"
@@ -112,6 +113,7 @@
 		Instances: client,
 		Codec:     platform.Codec{},
 		Peers:     i.peers,
+		Health:    healthhttp.New(),
 		Recorder:  i.recorder,
 		Log:       i.logs.Part("control"),
 		Seed:      i.seed(),
--- a/internal/app/operators.go
+++ b/internal/app/operators.go
@@ -15,10 +15,13 @@
 		ID: string(i.settings.Instance.ID), Zone: string(i.settings.Instance.Zone),
 		Incarnation: uint64(i.clock.Incarnation()), UptimeMs: time.Duration(i.clock.Now()).Milliseconds(),
 	}}
-	out.Note.AgeMs = -1
-	if s := i.control.Status(); s != nil {
-		out.Note.LastRefusal = s.LastRefusal
+	s := i.control.Status()
+	if s == nil {
+		out.Note.AgeMs, out.Note.SourceAgeMs, out.Note.ListAgeMs = -1, -1, -1
+		return out
 	}
+	out.Note = admin.Note{Wanted: uint64(s.Wanted), AgeMs: s.Age.Milliseconds(), SourceAgeMs: s.SourceAge.Milliseconds(),
+		ListAgeMs: s.ListAge.Milliseconds(), Watcher: s.Watcher, LastRefusal: s.LastRefusal, Alarm: s.Conflict}
 	return out
 }
 
