--- a/internal/app/app_test.go
+++ b/internal/app/app_test.go
@@ -249,8 +249,10 @@
 		}
 	}
 
+	server := arrivalOf(t, instances[0], backends, "before")
 	instances[2].leave()
 	require.NoError(t, <-instances[2].ended)
+	require.Equal(t, server, arrivalOf(t, instances[1], backends, "after"))
 }
 
 // explained returns how the owner of a flow explains where it goes.
@@ -266,3 +268,10 @@
 	t.Fatal("no instance says that it owns the flow")
 	return nil
 }
+
+// arrivalOf sends a packet of the first flow and returns the server that gets it.
+func arrivalOf(t *testing.T, through *running, backends map[string]*backend, payload string) string {
+	t.Helper()
+	send(t, through, flowPacket(t, netip.MustParseAddrPort("127.0.0.1:50000"), false, payload))
+	return arrival(t, backends, payload)
+}
