--- /dev/null
+++ b/internal/traffic/requests/http_test.go
@@ -0,0 +1,227 @@
+package requests_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/savorytiller/savorytiller/internal/core/request"
+)
+
+// Guards against parts that do not fit together, against a repetition that runs
+// again at another instance, and against an answer that is not the caller's own.
+func TestAtMostOnceAndWholeAnswerOverTwoInstances(t *testing.T) {
+	var runs atomic.Int32
+	b := startBench(t, 2, named(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == "POST" {
+			runs.Add(1)
+		}
+		echo(w, r)
+	}), request.Config{})
+	for i := range 20 {
+		key := fmt.Sprint("batch-", i)
+		require.Equal(t, got{200, "completed", "none", key, nil}, b.post(key, 1, key))
+		require.Equal(t, got{200, "completed", "none", key, nil}, b.post(key, 2, key), "the remembered answer")
+		reused := b.post(key, 3, "other content")
+		require.Equal(t, []any{422, "not-run", "key_reused"}, []any{reused.status, reused.outcome, reused.reason})
+	}
+	require.EqualValues(t, 20, runs.Load())
+}
+
+// Guards against a truncated or foreign answer that is forwarded as whole, and
+// against net/http sending a non-idempotent request again when a kept
+// connection breaks.
+func TestWholeAnswerAndAtMostOnceWithBrokenServers(t *testing.T) {
+	var posts, gets atomic.Int32
+	b := startBench(t, 1, func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == "POST" {
+			posts.Add(1)
+		} else {
+			gets.Add(1)
+		}
+		path := r.URL.Path
+		if path != "/foreign" && r.Header.Get("Idempotency-Key") != "foreign" {
+			w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
+		}
+		body, _ := io.ReadAll(r.Body)
+		switch {
+		case path == "/short", string(body) == "short":
+			w.Header().Set("Content-Length", "100")
+			_, _ = io.WriteString(w, "only this")
+		case path == "/long":
+			w.Header().Set("Content-Length", "300000")
+			_, _ = w.Write(make([]byte, 200_000))
+		case string(body) == "broken":
+			breakOff(w)
+		}
+	}, request.Config{})
+	ctx := context.Background()
+
+	a := b.post("short", 1, "short")
+	require.Equal(t, []any{502, "outcome-unknown", "answer_truncated"}, []any{a.status, a.outcome, a.reason})
+	a = b.post("foreign", 1, "")
+	require.Equal(t, []any{502, "outcome-unknown", "answer_mismatch"}, []any{a.status, a.outcome, a.reason})
+	a = b.send(ctx, 0, "GET", "/short", nil)
+	require.Equal(t, []any{502, "answer_truncated"}, []any{a.status, a.reason})
+	require.EqualValues(t, request.MaxTries, gets.Load(), "an idempotent request is retried")
+	a = b.send(ctx, 0, "GET", "/long", nil)
+	require.ErrorIs(t, a.err, io.ErrUnexpectedEOF, "the caller must see that a streamed answer is incomplete")
+
+	for i := range 5 { // the first one of each pair leaves a connection that the second one uses
+		require.Equal(t, 200, b.post(fmt.Sprint("whole-", i), 1, "").status)
+		posts.Store(0)
+		a = b.post(fmt.Sprint("broken-", i), 1, "broken")
+		require.Equal(t, []any{502, "outcome-unknown", "server_failed"}, []any{a.status, a.outcome, a.reason})
+		require.EqualValues(t, 1, posts.Load())
+		a = b.post(fmt.Sprint("broken-", i), 2, "broken")
+		require.Equal(t, []any{409, "outcome-unknown", "earlier_attempt_unknown"}, []any{a.status, a.outcome, a.reason})
+		require.EqualValues(t, 1, posts.Load())
+	}
+}
+
+// Guards against "not run" without certainty and against a shed that is not
+// retried: only a shed and a server that was never reached count as not run.
+func TestNotRunAfterShedAndRefusedConnection(t *testing.T) {
+	var runs, sheds atomic.Int32
+	b := startBench(t, 1, named(func(w http.ResponseWriter, r *http.Request) {
+		if sheds.Add(-1) >= 0 {
+			w.Header().Set("Request-Shed", "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		runs.Add(1)
+		echo(w, r)
+	}), request.Config{})
+	sheds.Store(100)
+	a := b.post("k", 1, "x")
+	require.Equal(t, []any{503, "not-run"}, []any{a.status, a.outcome})
+	require.Zero(t, runs.Load())
+	sheds.Store(0)
+	require.Equal(t, got{200, "completed", "none", "x", nil}, b.post("k", 2, "x"), "the owner knows that attempt 1 did not run")
+	require.EqualValues(t, 1, runs.Load())
+
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	require.NoError(t, l.Close())
+	b = startBenchAt(t, 1, l.Addr(), request.Config{})
+	a = b.post("k", 1, "x")
+	require.Equal(t, []any{"not-run"}, []any{a.outcome}, a.reason)
+}
+
+// Guards against a silent server that holds a request for ever, and against a
+// second transmission of a non-idempotent request.
+func TestAtMostOnceWithSilentServer(t *testing.T) {
+	var posts, gets atomic.Int32
+	b := startBench(t, 1, named(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == "POST" {
+			posts.Add(1)
+			_, _ = io.Copy(io.Discard, r.Body)
+			<-r.Context().Done()
+		} else if gets.Add(1) == 1 {
+			<-r.Context().Done()
+		}
+	}), request.Config{ResponseTimeout: 50 * time.Millisecond})
+	require.Equal(t, got{200, "completed", "none", "", nil}, b.send(context.Background(), 0, "GET", "/status", nil))
+	require.EqualValues(t, 2, gets.Load(), "the first connection was silent")
+	a := b.send(context.Background(), 0, "POST", "/checks/1", strings.NewReader("x"), "Idempotency-Key", "k", "Attempt", "1", "Request-Timeout-Ms", "100")
+	require.Equal(t, "outcome-unknown", a.outcome)
+	require.EqualValues(t, 1, posts.Load())
+}
+
+// Guards against a server that works on for a caller that has gone.
+func TestCancellationReachesServer(t *testing.T) {
+	started, cancelled := make(chan struct{}), make(chan struct{})
+	b := startBench(t, 1, named(func(w http.ResponseWriter, r *http.Request) {
+		close(started)
+		<-r.Context().Done()
+		close(cancelled)
+	}), request.Config{})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan got)
+	go func() { done <- b.send(ctx, 0, "GET", "/status", nil) }()
+	<-started
+	cancel()
+	require.Error(t, (<-done).err)
+	<-cancelled // without cancellation the test does not end
+}
+
+// Guards against an upload that is collected in memory before it is sent on.
+func TestUploadIsStreamed(t *testing.T) {
+	const part, total = 256 << 10, 2 << 20
+	began := make(chan struct{})
+	b := startBench(t, 1, named(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.CopyN(io.Discard, r.Body, part/2)
+		close(began)
+		n, _ := io.Copy(io.Discard, r.Body)
+		fmt.Fprint(w, n+part/2)
+	}), request.Config{})
+	reader, writer := io.Pipe()
+	go func() {
+		_, _ = writer.Write(make([]byte, part))
+		<-began // the server has the first part before the caller sends the rest
+		_, _ = writer.Write(make([]byte, total-part))
+		_ = writer.Close()
+	}()
+	a := b.send(context.Background(), 0, "POST", "/checks/1", reader, "Idempotency-Key", "k", "Attempt", "1")
+	require.Equal(t, got{200, "completed", "none", fmt.Sprint(total), nil}, a)
+}
+
+// Guards against a shutdown that interrupts a request in progress or accepts
+// new ones.
+func TestGracefulShutdownFinishesRequestsInProgress(t *testing.T) {
+	started, finish := make(chan struct{}), make(chan struct{})
+	b := startBench(t, 1, named(func(w http.ResponseWriter, r *http.Request) {
+		close(started)
+		<-finish
+		echo(w, r)
+	}), request.Config{})
+	first, drained := make(chan got), make(chan error, 1)
+	go func() { first <- b.post("k1", 1, "one") }()
+	<-started
+	go func() { drained <- b.workers[0].Drain(context.Background()) }()
+	require.Eventually(t, func() bool {
+		a := b.send(context.Background(), 0, "GET", "/missing-service-is-not-the-reason", nil, "Request-Timeout-Ms", "1")
+		return a.outcome == "not-run" && a.reason == "shutting_down"
+	}, time.Minute, time.Millisecond)
+	require.Empty(t, drained, "a request is still in progress")
+	close(finish)
+	require.Equal(t, got{200, "completed", "none", "one", nil}, <-first)
+	require.NoError(t, <-drained)
+}
+
+// Guards against bad requests without a clear reason, and against "not run" for
+// a repetition whose earlier attempt may have run.
+func TestNotRunOnlyForFirstAttemptsOfBadRequests(t *testing.T) {
+	b := startBench(t, 1, named(echo), request.Config{})
+	big := strings.NewReader(strings.Repeat("x", 5<<20))
+	for _, c := range []struct {
+		name   string
+		body   io.Reader
+		header []string
+		want   string
+	}{
+		{"no key", nil, nil, "400 not-run missing_key"},
+		{"no attempt", nil, []string{"Idempotency-Key", "a"}, "400 outcome-unknown bad_attempt"},
+		{"attempt zero", nil, []string{"Idempotency-Key", "a", "Attempt", "0"}, "400 outcome-unknown bad_attempt"},
+		{"attempt not a number", nil, []string{"Idempotency-Key", "a", "Attempt", "one"}, "400 outcome-unknown bad_attempt"},
+		{"long key", nil, []string{"Idempotency-Key", strings.Repeat("k", 65), "Attempt", "1"}, "400 not-run bad_request"},
+		{"deadline in the past", nil, []string{"Idempotency-Key", "b", "Attempt", "1", "Request-Timeout-Ms", "-5"}, "400 not-run deadline_passed"},
+		{"deadline in the past, repeated", nil, []string{"Idempotency-Key", "c", "Attempt", "2", "Request-Timeout-Ms", "0"}, "504 outcome-unknown deadline_passed"},
+		{"timeout not a number", nil, []string{"Idempotency-Key", "d", "Attempt", "1", "Request-Timeout-Ms", "soon"}, "400 not-run bad_request"},
+		{"large body", big, []string{"Idempotency-Key", "e", "Attempt", "1"}, "413 not-run too_large"},
+		{"large header", nil, []string{"Idempotency-Key", "f", "Attempt", "1", "X", strings.Repeat("x", 20_000)}, "413 not-run too_large"},
+		{"unknown key repeated", nil, []string{"Idempotency-Key", "g", "Attempt", "2"}, "409 outcome-unknown earlier_attempt_unknown"},
+	} {
+		a := b.send(context.Background(), 0, "POST", "/checks/1", c.body, c.header...)
+		require.NoError(t, a.err, c.name)
+		require.Equal(t, c.want, fmt.Sprint(a.status, " ", a.outcome, " ", a.reason), c.name)
+	}
+}
