--- a/internal/core/flow/promises_test.go
+++ b/internal/core/flow/promises_test.go
@@ -224,34 +224,48 @@
 	t.Logf("%d records in %d bytes within %d s", records, bytes, seconds)
 }
 
-// Guards against a leaving instance that keeps exceptions to itself.
-func TestPlannedChangeLeavingInstanceHandsOver(t *testing.T) {
-	f := newFleet(5, map[model.Zone]int{"halle-a": 2}, map[model.Zone]int{"halle-a": 4}, 1)
-	e, heir := f.engines[f.order[0]], f.engines[f.order[1]]
-	all := messages(e, 200)
-	for i := range all {
-		decide(f, e, all[i], FlagSYN)
-		decide(f, e, all[i], FlagACK)
-	}
-	f.members[0].Liveness = model.Leaving
-	e.view = nil
-	for _, s := range f.config.Services[0].Servers[:2] {
-		f.editServer(s.ID, func(s *model.Server) { s.Weight = 500 })
-	}
-	f.spread(0)
-	for range 300 {
-		f.step(100 * time.Millisecond)
-	}
-	e.dead = true
-	require.Zero(t, e.shard.Pending())
-	for i := range all {
-		r := e.shard.records.find(all[i].Fingerprint)
-		got := decide(f, heir, all[i], FlagACK)
-		if got.Verb == Forward { // looked up at the dead instance: go on without an answer
-			all[i].Kind, all[i].Attempt = KindNotKnown, MaxLookups
-			got = decide(f, heir, all[i], FlagACK)
+// Guards against an instance that keeps exceptions to itself, so that its heir
+// sends their flows elsewhere: after a planned leave, and after a crash, where the
+// heir has nothing but copies. The copies of a crashed owner count as the heir's
+// own flows.
+func TestPlannedChangeOrCrashLeavesRecordsToHeir(t *testing.T) {
+	for _, crash := range []bool{false, true} {
+		f := newFleet(5, map[model.Zone]int{"halle-a": 2}, map[model.Zone]int{"halle-a": 4}, 1)
+		e, heir := f.engines[f.order[0]], f.engines[f.order[1]]
+		all := messages(e, 200)
+		for i := range all {
+			decide(f, e, all[i], FlagSYN)
+			decide(f, e, all[i], FlagACK)
+		}
+		for _, s := range f.config.Services[0].Servers[:2] {
+			f.editServer(s.ID, func(s *model.Server) { s.Weight = 500 })
+		}
+		if !crash {
+			f.members[0].Liveness = model.Leaving
+		}
+		f.spread(0)
+		for range 300 {
+			f.step(100 * time.Millisecond)
+		}
+		require.Zero(t, e.shard.Pending())
+		own := e.shard.records
+		e.dead = true
+		if crash {
+			f.forget(e.member.ID)
+			for range 50 {
+				f.step(100 * time.Millisecond)
+			}
+			require.NotEmpty(t, heir.shard.connections)
+		}
+		for i := range all {
+			r := own.find(all[i].Fingerprint)
+			got := decide(f, heir, all[i], FlagACK)
+			if got.Verb == Forward { // looked up at the dead instance: go on without an answer
+				all[i].Kind, all[i].Attempt = KindNotKnown, MaxLookups
+				got = decide(f, heir, all[i], FlagACK)
+			}
+			want := heir.view.ByNumber[view.ServerRef{Service: 17, Number: r.server}].FlowAddress
+			require.Equal(t, want, got.To)
 		}
-		want := e.view.ByNumber[view.ServerRef{Service: 17, Number: r.server}].FlowAddress
-		require.Equal(t, want, got.To)
 	}
 }
