--- a/internal/core/table/table.go
+++ b/internal/core/table/table.go
@@ -22,8 +22,10 @@
 // GenerationRetention is how long a replaced generation stays known.
 const GenerationRetention = 5 * time.Minute
 
-// MaxGenerations bounds the retained generations of a service.
-const MaxGenerations = 8
+// MaxGenerations bounds the retained generations of a service. If instances drop
+// generations for their number and not for their age, a new owner may compute
+// with one that the former owner had dropped, and choose another server.
+const MaxGenerations = 32
 
 // Table maps hashes to servers of one service in one availability zone by
 // two-level weighted rendezvous hashing: each server belongs to the group that
