Keep handed over records whose server comes with a later note

Cause: a record that reached an instance before the note with its server was refused, but its owner counted it as replicated until the next refresh (4 min). Change: such copies stay for NoteDelay (10 s).

--- a/internal/core/flow/learn.go
+++ b/internal/core/flow/learn.go
@@ -79,9 +79,6 @@
 		return true
 	}
 	server := s.view.ByNumber[view.ServerRef{Service: x.Service, Number: x.Server}]
-	if server == nil {
-		return false
-	}
 	if r != nil && r.role() == roleOwn && r.service() == x.Service {
 		if r.server == x.Server { // another instance saw the end of the handshake
 			r.word |= flagEstablish
@@ -117,7 +114,8 @@
 // is not: then nobody else counts it.
 func (s *Shard) roleOf(x *Record, server *view.Server, now model.Time) (as role, counted bool) {
 	e := s.byID[x.Service]
-	if e == nil {
+	if e == nil || server == nil {
+		// The view of the sender is newer; this one follows within NoteDelay.
 		return roleCopy, false
 	}
 	owner, _ := s.route(e, now).owner(x.Fingerprint)
--- a/internal/core/flow/shard.go
+++ b/internal/core/flow/shard.go
@@ -30,6 +30,9 @@
 	CopyTimeout = 3 * RefreshInterval
 	// RefreshInterval is how often exceptions are sent again.
 	RefreshInterval = 4 * time.Minute
+	// NoteDelay is how long a record is kept whose server this instance does not
+	// know: the server may be in a note that has reached the sender only.
+	NoteDelay = 10 * time.Second
 	// relaysPerHint is the number of relayed packets that earn a hint.
 	relaysPerHint = 3
 	// firstPlace is the first Attempt that asks another zone to place a flow.
@@ -230,6 +233,11 @@
 	return s.view.ByNumber[view.ServerRef{Service: r.service(), Number: r.server}]
 }
 
+// early reports whether a copy's server may come with the next note.
+func (r *record) early(tick uint32) bool {
+	return r.role() == roleCopy && r.idle(tick) <= ticks(NoteDelay)
+}
+
 // gone says why a server that the view does not hold is gone.
 func (s *Shard) gone(id model.ServiceID, number uint32) model.Reason {
 	e := s.byID[id]
--- a/internal/core/flow/shard_test.go
+++ b/internal/core/flow/shard_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/savorytiller/savorytiller/internal/core/model"
+	"github.com/savorytiller/savorytiller/internal/core/placement"
 	"github.com/savorytiller/savorytiller/internal/core/view"
 )
 
@@ -206,3 +207,29 @@
 	require.Equal(t, model.ReasonTableChoice, decide(f, e, m, 0).Reason)
 	require.Equal(t, model.ReasonKnownFlow, decide(f, e, m, 0).Reason)
 }
+
+// Guards against records that are refused because the note with their server
+// has reached only their sender yet (rapid seed 487600 broke a flow this way),
+// and against records that are kept although no note brings the server.
+func TestRecordMayArriveBeforeItsNote(t *testing.T) {
+	for _, comes := range []bool{true, false} {
+		f, e := oneInstance(10)
+		m := messages(e, 1)[0]
+		server := f.newServer("halle-a")
+		number := placement.ServerNumber(server.ID)
+		require.Equal(t, 1, e.shard.LearnRecords(e.view, f.now, []Record{{Fingerprint: m.Fingerprint, Service: 17, Server: number}}))
+		f.now = f.now.Add(NoteDelay / 2)
+		e.shard.Tick(e.view, f.now, &e.out)
+		if comes {
+			f.change(func(c *model.Configuration) { c.Services[0].Servers = append(c.Services[0].Servers, server) })
+			f.spread(0)
+			f.step(0)
+			require.Equal(t, server.FlowAddress, decide(f, e, m, FlagACK).To)
+			continue
+		}
+		f.now = f.now.Add(NoteDelay)
+		e.shard.Tick(e.view, f.now, &e.out)
+		require.Zero(t, e.shard.Len())
+		require.Empty(t, e.out.Ended, "no flow ended here")
+	}
+}
--- a/internal/core/flow/sweep.go
+++ b/internal/core/flow/sweep.go
@@ -148,6 +148,9 @@
 func (s *Shard) sweepRecord(r *record, now model.Time, out *Output) model.Reason {
 	tick := tickOf(now)
 	server := s.server(r)
+	if server == nil && r.early(tick) {
+		return model.ReasonNone
+	}
 	if server == nil {
 		return s.gone(r.service(), r.server)
 	}
--- a/internal/core/flow/transit.go
+++ b/internal/core/flow/transit.go
@@ -23,8 +23,10 @@
 		r.expire(x.now)
 	}
 	server := x.server(r)
-	if server == nil {
-		x.d.Ended = x.gone(r.service(), r.server)
+	if server == nil && !r.early(x.tick) {
+		if r.role() == roleOwn {
+			x.d.Ended = x.gone(r.service(), r.server)
+		}
 		x.drop(r)
 	}
 	return server
