Bound the queue for each class; finish reports before shutdown; name withdrawn zones

Cause: the queue limit counted all classes of a service, so a class with many times the capacity could fill the queue of another; reports of the last requests were lost when the process ended; a service whose zones are all withdrawn answered overloaded after the wait. Change: the limit applies to each class; Drain waits for the calls under way; requests without any server in service are refused at once with zone_withdrawn or no_capacity; reads of the caller's body end at the request's deadline.

--- a/internal/adapter/httpfront/handler.go
+++ b/internal/adapter/httpfront/handler.go
@@ -54,14 +54,14 @@
 		a.Refuse(outcome, reason)
 		return
 	}
-	// Bounds a caller that stops sending its body. The service's own limit is
-	// shorter and applies as well.
-	_ = control.SetReadDeadline(time.Now().Add(bodyTimeout(in)))
 	f.handler.Serve(r.Context(), &port.CallerRequest{
 		Incoming: in,
 		Target:   r.URL.RequestURI(),
 		Header:   r.Header,
 		Body:     r.Body,
+		LimitBody: func(after time.Duration) {
+			_ = control.SetReadDeadline(time.Now().Add(after))
+		},
 	}, a)
 	if a.failed {
 		// The answer is incomplete: only a broken connection tells the caller.
@@ -101,17 +101,6 @@
 	return model.ReasonNone
 }
 
-// maxBodyTime bounds the time for receiving a request body if the caller gives
-// no timeout.
-const maxBodyTime = 2 * time.Minute
-
-func bodyTimeout(in request.Incoming) time.Duration {
-	if in.HasTimeout && in.Timeout > 0 {
-		return min(in.Timeout+time.Second, maxBodyTime)
-	}
-	return maxBodyTime
-}
-
 // incoming decodes the headers of a request. It reports false if one of them
 // cannot be decoded.
 func incoming(r *http.Request) (in request.Incoming, ok bool) {
--- a/internal/core/capacity/pool.go
+++ b/internal/core/capacity/pool.go
@@ -51,7 +51,9 @@
 type servicePool struct {
 	view   *view.View
 	usable []usable
-	total  int // slots that may be used under the present view
+	// unavailable is why no server of the service can be used by anyone.
+	unavailable model.Reason
+	total       int // slots that may be used under the present view
 	// hold is the mean time for which a slot is held; 0 while it is not known.
 	hold    float64
 	classes map[string]*classUse
@@ -95,6 +97,12 @@
 // Total returns the number of slots of a service that this instance may use.
 func (p *Pool) Total(service model.ServiceID) int { return p.service(service).total }
 
+// Unavailable returns why no server of a service can take a request, whichever
+// instance holds its slots, or ReasonNone.
+func (p *Pool) Unavailable(service model.ServiceID) model.Reason {
+	return p.service(service).unavailable
+}
+
 // InUse returns the number of slots of a server in use through this instance.
 func (p *Pool) InUse(server model.ServerID) int {
 	if u := p.servers[server]; u != nil {
@@ -215,11 +223,18 @@
 	}
 	s.view, s.usable, s.total = p.view, s.usable[:0], 0
 	svc := p.view.Config.Service(id)
+	s.unavailable = model.ReasonNoCapacity
 	if svc == nil {
 		return s
 	}
 	for i := range svc.Servers {
 		server := p.view.Servers[svc.Servers[i].ID]
+		switch {
+		case server != nil && server.State == model.ServerActive && server.Warmth != view.Failed:
+			s.unavailable = model.ReasonNone
+		case s.unavailable != model.ReasonNone && p.view.Config.Withdrawn(svc.Servers[i].Zone):
+			s.unavailable = model.ReasonZoneWithdrawn
+		}
 		if server != nil && server.NewWork && server.SlotLimit > 0 && len(server.Slots) > 0 {
 			s.usable = append(s.usable, usable{server, p.use(server.ID)})
 			s.total += min(server.SlotLimit, len(server.Slots))
--- a/internal/core/request/dispatch.go
+++ b/internal/core/request/dispatch.go
@@ -86,7 +86,7 @@
 	case ShedByServer:
 		return Shed, true
 	case Silent:
-		return Timeout, true
+		return Timeout, ev.Latency >= minTimeoutObserved
 	case Cancelled:
 		return Timeout, ev.Latency >= minTimeoutObserved && ev.DeadlinePassed
 	case BodyFailed:
--- a/internal/core/request/engine.go
+++ b/internal/core/request/engine.go
@@ -14,8 +14,8 @@
 type Config struct {
 	// QueueWait is the longest wait for a slot.
 	QueueWait time.Duration
-	// QueueLength bounds the requests of a service that ask for admission or
-	// wait for a slot.
+	// QueueLength bounds the requests of one class of a service that ask for
+	// admission or wait for a slot.
 	QueueLength int
 	// MaxKeys bounds the keys that the engine remembers as owner.
 	MaxKeys int
--- a/internal/core/request/fleet_test.go
+++ b/internal/core/request/fleet_test.go
@@ -21,12 +21,12 @@
 		s := amberg(11, service)
 		capacity := capacityOf(s, service)
 		l := newLoad(s, 2*time.Second, 7*time.Second,
-			offered{name: hog, method: methods[hog], rate: 5 * capacity},
+			offered{name: hog, method: methods[hog], rate: 15 * capacity},
 			offered{name: name, method: methods[name], rate: 0.3 * capacity})
 		s.start()
 		s.runUntil(8 * time.Second)
 		st := l.stats[name]
-		t.Logf("%s offered 0.3x beside %s at 5x: %.1f %% served, total goodput %.1f %% of capacity",
+		t.Logf("%s offered 0.3x beside %s at 15x: %.1f %% served, total goodput %.1f %% of capacity",
 			name, hog, 100*float64(st.completed)/float64(st.offered), 100*l.goodput()/capacity)
 		require.Greater(t, float64(st.completed), 0.9*float64(st.offered), name)
 		require.Greater(t, l.goodput(), 0.9*capacity)
--- a/internal/core/request/lifecycle.go
+++ b/internal/core/request/lifecycle.go
@@ -109,6 +109,9 @@
 	if in.Length > p.service.MaxBody {
 		return model.ReasonTooLarge
 	}
+	if reason := e.pool.Unavailable(p.service.ID); reason != model.ReasonNone {
+		return reason
+	}
 	timeout := p.service.RequestTimeout
 	if in.HasTimeout {
 		timeout = min(timeout, in.Timeout)
@@ -160,8 +163,7 @@
 		e.wantSlot(p)
 		return
 	}
-	q := e.queue(p.service.ID)
-	if q.length() >= e.cfg.QueueLength {
+	if e.queue(p.service.ID).full(p.kind.Class, e.cfg.QueueLength) {
 		e.refuse(p, model.ReasonOverloaded)
 		return
 	}
@@ -181,7 +183,7 @@
 		return
 	}
 	p.phase, p.asked = phaseAdmit, e.now
-	e.queue(p.service.ID).admitting++
+	e.queue(p.service.ID).admitting[p.kind.Class]++
 	msg := Admit{Service: p.service.ID, Key: p.key, Attempt: p.attempt, Digest: p.digest, Deadline: p.deadline.Sub(e.now)}
 	if p.owner.ID != e.view.Self.ID {
 		e.emit(CallAdmit{ID: p.id, To: *p.owner, Msg: msg, Timeout: min(e.cfg.AdmitTimeout, msg.Deadline)})
@@ -208,7 +210,7 @@
 		// The question may still arrive, or the permit may be on its way; this
 		// instance will not use it.
 		e.report(p, NotRun, nil)
-		e.queue(p.service.ID).admitting--
+		e.queue(p.service.ID).admitting[p.kind.Class]--
 		e.finish(p, refusedAs(p.attempt), model.ReasonPeerUnreachable, nil)
 		return
 	}
@@ -216,7 +218,7 @@
 }
 
 func (e *Engine) admitted(p *pending, a Admission) {
-	e.queue(p.service.ID).admitting--
+	e.queue(p.service.ID).admitting[p.kind.Class]--
 	if !a.Permitted {
 		e.finish(p, a.Outcome, a.Reason, a.Answer)
 		return
@@ -285,7 +287,7 @@
 	switch p.phase {
 	case phaseAdmit:
 		e.report(p, NotRun, nil)
-		e.queue(p.service.ID).admitting--
+		e.queue(p.service.ID).admitting[p.kind.Class]--
 		e.finish(p, refusedAs(p.attempt), reason, nil)
 	default:
 		e.leaveQueue(p)
--- a/internal/core/request/slots.go
+++ b/internal/core/request/slots.go
@@ -12,8 +12,8 @@
 type queue struct {
 	waiting map[string][]*pending // by class, oldest first
 	size    int
-	// admitting counts the requests that ask the owner of their key.
-	admitting int
+	// admitting counts the requests that ask the owner of their key, by class.
+	admitting map[string]int
 	// acquires counts the questions for slots that are under way.
 	acquires int
 	// refused says until when an instance is not asked again.
@@ -38,12 +38,16 @@
 	near   bool
 }
 
-func (q *queue) length() int { return q.size + q.admitting }
+// full reports whether no further request of a class may wait. The limit
+// applies to each class, so that one class cannot fill the queue of another.
+func (q *queue) full(class string, limit int) bool {
+	return len(q.waiting[class])+q.admitting[class] >= limit
+}
 
 func (e *Engine) queue(service model.ServiceID) *queue {
 	q := e.queues[service]
 	if q == nil {
-		q = &queue{waiting: map[string][]*pending{}, refused: map[model.InstanceID]model.Time{}}
+		q = &queue{waiting: map[string][]*pending{}, admitting: map[string]int{}, refused: map[model.InstanceID]model.Time{}}
 		e.queues[service] = q
 	}
 	return q
@@ -56,7 +60,7 @@
 		e.dispatch(p)
 		return
 	}
-	if q.length() >= e.cfg.QueueLength {
+	if q.full(p.kind.Class, e.cfg.QueueLength) {
 		e.noSlot(p)
 		return
 	}
--- a/internal/port/request.go
+++ b/internal/port/request.go
@@ -32,6 +32,8 @@
 	// Header holds the headers that are passed on to the server.
 	Header map[string][]string
 	Body   io.Reader
+	// LimitBody makes reads of Body fail after the given time; it may be nil.
+	LimitBody func(after time.Duration)
 }
 
 // CallerAnswer sends the one answer of a request to its caller.
--- a/internal/traffic/requests/http_test.go
+++ b/internal/traffic/requests/http_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -19,10 +20,12 @@
 // Guards against parts that do not fit together, against a repetition that runs
 // again at another instance, and against an answer that is not the caller's own.
 func TestAtMostOnceAndWholeAnswerOverTwoInstances(t *testing.T) {
-	var runs atomic.Int32
+	var runs, bad atomic.Int32
 	b := startBench(t, 2, named(func(w http.ResponseWriter, r *http.Request) {
-		if r.Method == "POST" {
-			runs.Add(1)
+		runs.Add(1)
+		left, err := strconv.Atoi(r.Header.Get("Request-Timeout-Ms"))
+		if err != nil || left < 1 || left > 20_000 || r.Header.Get("Idempotency-Key") == "" || r.Header.Get("Attempt") != "" {
+			bad.Add(1)
 		}
 		echo(w, r)
 	}), request.Config{})
@@ -34,6 +37,7 @@
 		require.Equal(t, []any{422, "not-run", "key_reused"}, []any{reused.status, reused.outcome, reused.reason})
 	}
 	require.EqualValues(t, 20, runs.Load())
+	require.Zero(t, bad.Load(), "headers towards the server")
 }
 
 // Guards against a truncated or foreign answer that is forwarded as whole, and
--- a/internal/traffic/requests/serve.go
+++ b/internal/traffic/requests/serve.go
@@ -135,6 +135,9 @@
 
 // readBody reads the start of the body and computes the content digest.
 func (h *handler) readBody(a request.ReadBody) request.Event {
+	if limit := h.req.LimitBody; limit != nil && h.req.Incoming.Length != 0 {
+		limit(a.Deadline.Sub(h.w.o.Clock.Now()))
+	}
 	h.body = callerBody{source: h.req.Body, max: a.MaxBody, length: h.req.Incoming.Length}
 	if err := h.body.buffer(); err != nil {
 		reason := model.ReasonBadRequest
--- a/internal/traffic/requests/worker.go
+++ b/internal/traffic/requests/worker.go
@@ -11,7 +11,6 @@
 
 	"github.com/savorytiller/savorytiller/internal/core/model"
 	"github.com/savorytiller/savorytiller/internal/core/request"
-	"github.com/savorytiller/savorytiller/internal/core/view"
 	"github.com/savorytiller/savorytiller/internal/port"
 )
 
@@ -212,8 +211,9 @@
 	}
 }
 
-// Drain refuses new requests and returns once none is in progress, or with the
-// context's error.
+// Drain refuses new requests and returns once none is in progress and the
+// reports about them have been sent, or with the context's error. The worker
+// must run on until then.
 func (w *Worker) Drain(ctx context.Context) error {
 	idle := make(chan struct{})
 	if !w.post(item{ev: request.Drain{}, idle: idle}) {
@@ -221,13 +221,19 @@
 	}
 	select {
 	case <-idle:
-		return nil
 	case <-w.stopped:
 		return nil
 	case <-ctx.Done():
 		return ctx.Err()
 	}
+	// Holding every token means that no call is under way.
+	for range cap(w.calls) {
+		select {
+		case w.calls <- struct{}{}:
+			defer func() { <-w.calls }()
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	return nil
 }
-
-// View returns the newest view, for the readiness check.
-func (w *Worker) View() *view.View { return w.o.Views.View() }
