Name the owner's memory in admissions and reports: a restart let a request run twice

Change: each engine names its memory by a random epoch; a question or report for another epoch decides nothing. TestAtMostOnceAfterRestartOfOwnerAndLateMessages replays the fault. Reports are not retransmitted after a pause of the process. The simulated servers crash while they run requests.

--- a/internal/adapter/backendhttp/client.go
+++ b/internal/adapter/backendhttp/client.go
@@ -27,9 +27,7 @@
 	HeaderRequestID = "Request-Id"
 	HeaderTimeout   = "Request-Timeout-Ms"
 	HeaderShed      = "Request-Shed"
-	// keyHeader is not in canonical form on purpose: net/http resends a request
-	// that carries the canonical Idempotency-Key when a connection breaks.
-	keyHeader = "idempotency-key"
+	HeaderKey       = "Idempotency-Key"
 )
 
 // Options of a client. Clock is required.
@@ -155,8 +153,9 @@
 	}
 }
 
-// build returns the HTTP request. Its body never allows net/http to send it
-// again: it is not nil, even if empty, and has no GetBody.
+// build returns the HTTP request. net/http sends a request again when a kept
+// connection breaks if it carries an Idempotency-Key and its body can be
+// rewound; so the body is not nil, even if empty, and has no GetBody.
 func build(ctx context.Context, r port.BackendRequest, u *use) (*http.Request, error) {
 	target, err := url.ParseRequestURI(r.Target)
 	if err != nil {
@@ -178,7 +177,7 @@
 	req.Header.Set(HeaderRequestID, r.RequestID)
 	req.Header.Set(HeaderTimeout, strconv.FormatInt(max(r.Remaining.Milliseconds(), 1), 10))
 	if r.Key != "" {
-		req.Header[keyHeader] = []string{r.Key}
+		req.Header.Set(HeaderKey, r.Key)
 	}
 	return req.WithContext(ctx), nil
 }
--- a/internal/adapter/backendhttp/headers.go
+++ b/internal/adapter/backendhttp/headers.go
@@ -12,7 +12,7 @@
 	"Proxy-Authorization": true, "Te": true, "Trailer": true, "Transfer-Encoding": true, "Upgrade": true,
 	"Content-Length": true, "Host": true, "Expect": true,
 	HeaderRequestID: true, HeaderTimeout: true, HeaderShed: true,
-	"Idempotency-Key": true, "Attempt": true, "Outcome": true, "Outcome-Reason": true,
+	HeaderKey: true, "Attempt": true, "Outcome": true, "Outcome-Reason": true,
 }
 
 // dropped reports whether a header is not passed on.
--- a/internal/core/request/engine.go
+++ b/internal/core/request/engine.go
@@ -108,6 +108,10 @@
 	reqs    map[ID]*pending
 	leases  map[leaseKey]*lease
 	lastID  LeaseID
+	// epoch names this engine's memory of keys; epochs are those of the others,
+	// as their replies gave them.
+	epoch  Epoch
+	epochs map[model.InstanceID]Epoch
 	// asks are the questions for slots that are under way, by request.
 	asks   map[ID]model.ServiceID
 	timers timers
@@ -141,6 +145,8 @@
 		reqs:    map[ID]*pending{},
 		leases:  map[leaseKey]*lease{},
 		asks:    map[ID]model.ServiceID{},
+		epoch:   Epoch(max(rng.Uint64(), 1)),
+		epochs:  map[model.InstanceID]Epoch{},
 		lastID:  LeaseID(rng.Uint64() >> 16),
 	}
 }
@@ -169,7 +175,9 @@
 	case PeerAdmit:
 		e.peerAdmit(ev)
 	case PeerReport:
-		e.answerParked(e.dedup.report(now, ev.Msg))
+		if ev.Msg.Epoch == e.epoch {
+			e.answerParked(e.dedup.report(now, ev.Msg))
+		}
 	case PeerAcquire:
 		e.peerAcquire(ev)
 	case PeerRelease:
@@ -199,6 +207,9 @@
 	for service := range e.queues {
 		e.serveQueue(service)
 	}
+	if v != nil && v.Members != nil && len(e.epochs) > 2*len(v.Members.All()) {
+		clear(e.epochs) // mostly of instances that are gone; the next replies give them again
+	}
 }
 
 func (e *Engine) refusesNew() bool {
--- a/internal/core/request/engine_test.go
+++ b/internal/core/request/engine_test.go
@@ -20,6 +20,8 @@
 	n    *node
 	now  model.Time
 	last request.ID
+	// epoch is the memory that the messages of the other instance "x" name.
+	epoch request.Epoch
 }
 
 func newDrive(cfg request.Config, slots uint16) *drive {
@@ -28,9 +30,16 @@
 	s.start()
 	d := &drive{n: s.nodes["halle-a-1"]}
 	d.renew()
+	d.learn()
 	return d
 }
 
+// learn asks for the present memory.
+func (d *drive) learn() {
+	a, _ := d.admit("", 1)
+	d.epoch = a.Epoch
+}
+
 // renew publishes a fresh view.
 func (d *drive) renew() {
 	v := *d.n.view
@@ -57,13 +66,13 @@
 func (d *drive) admit(key string, attempt int) (request.Admission, bool) {
 	d.last++
 	a, ok := find[request.ReplyAdmit](d.do(request.PeerAdmit{Call: request.CallID(d.last), From: "x", Msg: request.Admit{
-		Service: 17, Key: key, Attempt: attempt, Digest: 7, Deadline: time.Second,
+		Epoch: d.epoch, Service: 17, Key: key, Attempt: attempt, Digest: 7, Deadline: time.Second,
 	}}))
 	return a.Msg, ok
 }
 
 func (d *drive) report(key string, attempt int, s request.State, answer *request.StoredAnswer) []request.Action {
-	return d.do(request.PeerReport{From: "x", Msg: request.Report{Service: 17, Key: key, Attempt: attempt, Digest: 7, State: s, Answer: answer}})
+	return d.do(request.PeerReport{From: "x", Msg: request.Report{Epoch: d.epoch, Service: 17, Key: key, Attempt: attempt, Digest: 7, State: s, Answer: answer}})
 }
 
 func find[A request.Action](actions []request.Action) (a A, ok bool) {
@@ -128,7 +137,7 @@
 		if c.renew {
 			d.renew()
 		}
-		actions = d.do(request.AdmitReplied{ID: d.last, Admission: request.Admission{Permitted: true, Validity: 400 * time.Millisecond}})
+		actions = d.do(request.AdmitReplied{ID: d.last, Admission: request.Admission{Epoch: 1, Permitted: true, Validity: 400 * time.Millisecond}})
 		if !c.renew {
 			actions = d.do(request.AdmitReplied{ID: d.last, Admission: request.Admission{Permitted: true, Validity: time.Second}})
 		}
@@ -201,6 +210,30 @@
 	require.False(t, a.Permitted, "a forgotten key is not safe to repeat")
 }
 
+// Guards against messages of before a restart of the owner that build up a new
+// memory in which a key that has run looks safe. Found by
+// TestAtMostOnceAndNotRunUnderFaults with seed 1 and 2,000 checks: attempt 2 had
+// run; the restarted owner then got the late question and report of attempt 1
+// and permitted attempt 7.
+func TestAtMostOnceAfterRestartOfOwnerAndLateMessages(t *testing.T) {
+	d := newDrive(request.Config{}, 1)
+	d.report("k", 1, request.NotRun, nil) // refused before it was admitted
+	a, _ := d.admit("k", 2)
+	require.True(t, a.Permitted)
+	late := d.epoch
+	d.n.start() // the owner restarts and has forgotten the key
+	d.renew()
+	a, _ = d.admit("k", 1)
+	require.True(t, a.WrongEpoch)
+	require.False(t, a.Permitted)
+	d.report("k", 1, request.NotRun, nil)
+	d.learn()
+	require.NotEqual(t, late, d.epoch)
+	a, _ = d.admit("k", 3)
+	require.False(t, a.Permitted)
+	require.Equal(t, model.ReasonEarlierAttemptUnknown, a.Reason)
+}
+
 // Guards against one tenant that takes all memory for bodies in flight, and
 // against bytes that are not given back.
 func TestTenantBytesAreBounded(t *testing.T) {
--- a/internal/core/request/lifecycle.go
+++ b/internal/core/request/lifecycle.go
@@ -33,6 +33,8 @@
 
 	// owner is the instance that was asked for admission; asked is when.
 	owner     *model.Member
+	epoch     Epoch
+	reasked   bool
 	asked     model.Time
 	permitted bool
 	permitEnd model.Time
@@ -182,9 +184,9 @@
 		e.refuse(p, model.ReasonNoOwner)
 		return
 	}
-	p.phase, p.asked = phaseAdmit, e.now
+	p.phase, p.asked, p.epoch = phaseAdmit, e.now, e.epochs[p.owner.ID]
 	e.queue(p.service.ID).admitting[p.kind.Class]++
-	msg := Admit{Service: p.service.ID, Key: p.key, Attempt: p.attempt, Digest: p.digest, Deadline: p.deadline.Sub(e.now)}
+	msg := Admit{Epoch: p.epoch, Service: p.service.ID, Key: p.key, Attempt: p.attempt, Digest: p.digest, Deadline: p.deadline.Sub(e.now)}
 	if p.owner.ID != e.view.Self.ID {
 		e.emit(CallAdmit{ID: p.id, To: *p.owner, Msg: msg, Timeout: min(e.cfg.AdmitTimeout, msg.Deadline)})
 		return
@@ -214,9 +216,26 @@
 		e.finish(p, refusedAs(p.attempt), model.ReasonPeerUnreachable, nil)
 		return
 	}
+	e.epochs[p.owner.ID] = ev.Admission.Epoch
+	if ev.Admission.WrongEpoch {
+		e.reask(p)
+		return
+	}
 	e.admitted(p, ev.Admission)
 }
 
+// reask asks an owner again whose memory was not known or has changed. The
+// request is still in hand, so it is not late.
+func (e *Engine) reask(p *pending) {
+	e.queue(p.service.ID).admitting[p.kind.Class]--
+	if p.reasked {
+		e.finish(p, refusedAs(p.attempt), model.ReasonPeerUnreachable, nil)
+		return
+	}
+	p.reasked = true
+	e.askOwner(p)
+}
+
 func (e *Engine) admitted(p *pending, a Admission) {
 	e.queue(p.service.ID).admitting[p.kind.Class]--
 	if !a.Permitted {
@@ -320,12 +339,18 @@
 	if to == nil {
 		return
 	}
-	msg := Report{Service: p.service.ID, Key: p.key, Attempt: p.attempt, Digest: p.digest, State: s, Answer: answer}
+	epoch := p.epoch
+	if p.owner == nil {
+		epoch = e.epochs[to.ID]
+	}
+	msg := Report{Epoch: epoch, Service: p.service.ID, Key: p.key, Attempt: p.attempt, Digest: p.digest, State: s, Answer: answer}
 	if to.ID == e.view.Self.ID {
 		e.answerParked(e.dedup.report(e.now, msg))
 		return
 	}
-	e.emit(CallReport{To: *to, Msg: msg})
+	if epoch != 0 {
+		e.emit(CallReport{To: *to, Msg: msg})
+	}
 }
 
 func (e *Engine) finish(p *pending, o model.Outcome, r model.Reason, a *StoredAnswer) {
--- a/internal/core/request/property_test.go
+++ b/internal/core/request/property_test.go
@@ -206,6 +206,7 @@
 				s.at(time.Second, func() { s.takeSides(split, side) })
 			})
 		case "server":
+			s.at(at, func() { s.flap(length) })
 			srv := s.servers[s.config.Services[0].Servers[s.rng.IntN(len(s.config.Services[0].Servers))].ID]
 			s.at(at, func() { srv.silent = s.rng.IntN(2) == 0; srv.down = !srv.silent })
 			s.at(at+length, func() { srv.silent, srv.down = false, false })
@@ -213,6 +214,21 @@
 	}
 }
 
+// flap makes every server crash and return all the time.
+func (s *sim) flap(length time.Duration) {
+	end := s.now + length
+	for _, id := range s.config.Services[0].Servers {
+		srv := s.servers[id.ID]
+		var next func()
+		next = func() {
+			if srv.down = !srv.down && s.now < end; s.now < end {
+				s.at(time.Duration(s.rng.IntN(200))*time.Millisecond, next)
+			}
+		}
+		next()
+	}
+}
+
 // takeSides gives every instance the opinion that fits the partition.
 func (s *sim) takeSides(split bool, side map[model.InstanceID]bool) {
 	for _, a := range s.order {
--- a/internal/core/request/sim_test.go
+++ b/internal/core/request/sim_test.go
@@ -469,7 +469,8 @@
 // receive is the arrival of a request at the server.
 func (srv *simServer) receive(s *sim, r *simRequest, reply func(request.Dispatched, time.Duration)) (cancel func()) {
 	const back = 200 * time.Microsecond
-	if srv.down {
+	if srv.down { // it was reachable when the connection was opened
+		reply(request.Dispatched{Result: request.Broken}, back)
 		return func() {}
 	}
 	if srv.running >= srv.capacity {
@@ -492,7 +493,9 @@
 			return
 		}
 		cancel()
-		if !srv.silent {
+		if srv.down { // it ran the request and crashed before its answer arrived
+			reply(request.Dispatched{Result: request.Broken}, back)
+		} else if !srv.silent {
 			answer := &request.StoredAnswer{Status: 200, Body: []byte(fmt.Sprint(r.op))}
 			reply(request.Dispatched{Result: request.Answered, Status: 200, Answer: answer}, back)
 		}
--- a/internal/core/request/slots.go
+++ b/internal/core/request/slots.go
@@ -335,10 +335,15 @@
 }
 
 func (e *Engine) peerAdmit(ev PeerAdmit) {
+	if ev.Msg.Epoch != e.epoch {
+		e.emit(ReplyAdmit{Call: ev.Call, Msg: Admission{Epoch: e.epoch, WrongEpoch: true}})
+		return
+	}
 	wait := park(ev.Msg.Deadline)
 	w := waiter{call: ev.Call}
 	reply, ok := e.dedup.admit(e.now, w, ev.Msg, wait)
 	if ok {
+		reply.Epoch = e.epoch
 		e.emit(ReplyAdmit{Call: ev.Call, Msg: reply})
 		return
 	}
@@ -348,6 +353,7 @@
 func (e *Engine) answerParked(list []admission) {
 	for _, a := range list {
 		if a.to.call != 0 {
+			a.reply.Epoch = e.epoch
 			e.emit(ReplyAdmit{Call: a.to.call, Msg: a.reply})
 			continue
 		}
--- a/internal/core/request/types.go
+++ b/internal/core/request/types.go
@@ -37,6 +37,11 @@
 	Length int64
 }
 
+// Epoch names the memory of keys of one run of an instance. A message that was
+// meant for an earlier run is late: the memory that it refers to is gone, and
+// what it says may have been overtaken.
+type Epoch uint64
+
 // State is what the owner of a key knows about its request.
 type State uint8
 
@@ -62,6 +67,8 @@
 type (
 	// Admit asks the owner of a key for the permit to run an attempt.
 	Admit struct {
+		// Epoch is the owner's memory that the sender knows, or 0.
+		Epoch   Epoch
 		Service model.ServiceID
 		Key     string
 		Attempt int
@@ -71,7 +78,11 @@
 	}
 	// Admission is the owner's reply to Admit.
 	Admission struct {
-		Permitted bool
+		// Epoch is the owner's memory. With WrongEpoch, the question named
+		// another one and nothing was decided.
+		Epoch      Epoch
+		WrongEpoch bool
+		Permitted  bool
 		// Validity is the life of the permit, counted by the receiving instance
 		// from before it asked.
 		Validity time.Duration
@@ -81,6 +92,8 @@
 	}
 	// Report tells the owner of a key what became of an attempt.
 	Report struct {
+		// Epoch is the owner's memory at the time of the question.
+		Epoch   Epoch
 		Service model.ServiceID
 		Key     string
 		Attempt int
--- a/internal/traffic/requests/http_test.go
+++ b/internal/traffic/requests/http_test.go
@@ -63,7 +63,7 @@
 		case path == "/long":
 			w.Header().Set("Content-Length", "300000")
 			_, _ = w.Write(make([]byte, 200_000))
-		case string(body) == "broken":
+		case path == "/checks/broken":
 			breakOff(w)
 		}
 	}, request.Config{})
@@ -82,10 +82,13 @@
 	for i := range 5 { // the first one of each pair leaves a connection that the second one uses
 		require.Equal(t, 200, b.post(fmt.Sprint("whole-", i), 1, "").status)
 		posts.Store(0)
-		a = b.post(fmt.Sprint("broken-", i), 1, "broken")
+		broken := func(attempt string) got {
+			return b.send(ctx, 0, "POST", "/checks/broken", nil, "Idempotency-Key", fmt.Sprint("broken-", i), "Attempt", attempt)
+		}
+		a = broken("1")
 		require.Equal(t, []any{502, "outcome-unknown", "server_failed"}, []any{a.status, a.outcome, a.reason})
 		require.EqualValues(t, 1, posts.Load())
-		a = b.post(fmt.Sprint("broken-", i), 2, "broken")
+		a = broken("2")
 		require.Equal(t, []any{409, "outcome-unknown", "earlier_attempt_unknown"}, []any{a.status, a.outcome, a.reason})
 		require.EqualValues(t, 1, posts.Load())
 	}
--- a/internal/traffic/requests/peers.go
+++ b/internal/traffic/requests/peers.go
@@ -18,6 +18,9 @@
 	reportTimeout = time.Second
 	// reportPause lies between two transmissions.
 	reportPause = 200 * time.Millisecond
+	// reportLife bounds all transmissions, so that a process that was paused
+	// between two of them does not send a report that has been overtaken.
+	reportLife = 4 * time.Second
 )
 
 // ErrBadMessage means that a message of another instance breaks a limit.
@@ -72,7 +75,8 @@
 	}
 	go func() {
 		defer func() { <-w.calls }()
-		for try := 0; try < tries; try++ {
+		began := w.o.Clock.Now()
+		for try := 0; try < tries && w.o.Clock.Now().Sub(began) < reportLife; try++ {
 			if try > 0 && !w.pause(reportPause) {
 				return
 			}
