Ask the next candidates about a repeated request that its owner does not know

Cause: after an instance joined or announced its leave, the new owner of a key knew nothing of it, and every repetition ended in outcome-unknown. Change: later attempts are asked of up to three candidates, leaving instances included. Only the instance that decided about attempt 1 can permit a later one, so the order and number of questions do not matter for safety. Figures: TestAtMostOnceAnswersSurvivePlannedChanges, 200 keys over a join and a leave: all 400 repetitions get the remembered answer.

--- a/internal/core/request/dedup.go
+++ b/internal/core/request/dedup.go
@@ -97,7 +97,9 @@
 		// An earlier attempt may have run at an instance that is gone,
 		// unreachable or paused.
 		r.state = Unknown
-		return refusal(model.OutcomeUnknown, model.ReasonEarlierAttemptUnknown), true
+		a := refusal(model.OutcomeUnknown, model.ReasonEarlierAttemptUnknown)
+		a.UnknownKey = true
+		return a, true
 	}
 	if r.digest == 0 {
 		r.digest = m.Digest
@@ -121,7 +123,9 @@
 	case r.state == MayRun:
 		return refusal(model.OutcomeUnknown, model.ReasonInProgress), true
 	default:
-		return refusal(model.OutcomeUnknown, model.ReasonEarlierAttemptUnknown), true
+		a := refusal(model.OutcomeUnknown, model.ReasonEarlierAttemptUnknown)
+		a.UnknownKey = r.permitted == 0 // known from later attempts only
+		return a, true
 	}
 }
 
--- a/internal/core/request/fleet_test.go
+++ b/internal/core/request/fleet_test.go
@@ -1,6 +1,7 @@
 package request_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -217,3 +218,41 @@
 	require.Greater(t, at(14, 20), 0.9)
 	require.Empty(t, warm.cold)
 }
+
+// Guards against a planned change after which the result of a request is no
+// longer known: an instance joins and then another one leaves, and a repetition
+// of each request, to any instance, gets the remembered answer.
+func TestAtMostOnceAnswersSurvivePlannedChanges(t *testing.T) {
+	s := amberg(23, time.Millisecond)
+	joins, leaves := s.order[1], s.order[4]
+	opinion := func(id model.InstanceID, l model.Liveness) {
+		for _, other := range s.order {
+			s.nodes[other].live[id] = l
+			s.nodes[other].refreshIfAwake()
+		}
+	}
+	ends := map[string]int{}
+	s.finished = func(_ *node, r *simRequest, f request.Finish) {
+		ends[fmt.Sprint(r.attempt, " ", f.Outcome, " ", f.Reason)]++
+	}
+	transmit := func(attempt int) {
+		for op := range 200 {
+			r := &simRequest{op: op, key: fmt.Sprint("key", op), attempt: attempt, digest: uint64(op + 1)}
+			r.in = request.Incoming{Host: "line", Method: "POST", Path: "/", Key: r.key, Attempt: attempt}
+			s.at(time.Duration(op)*time.Millisecond, func() { s.nodes[s.order[(op+attempt)%len(s.order)]].submit(r) })
+		}
+	}
+	s.start()
+	opinion(joins, model.Dead)
+	transmit(1)
+	s.runUntil(time.Second)
+	opinion(joins, model.Live)
+	transmit(2)
+	s.runUntil(2 * time.Second)
+	opinion(leaves, model.Leaving)
+	transmit(3)
+	s.runUntil(3 * time.Second)
+	require.Equal(t, map[string]int{
+		"1 completed none": 200, "2 completed already_completed": 200, "3 completed already_completed": 200,
+	}, ends)
+}
--- a/internal/core/request/lifecycle.go
+++ b/internal/core/request/lifecycle.go
@@ -2,7 +2,6 @@
 
 import (
 	"strings"
-	"time"
 
 	"github.com/savorytiller/savorytiller/internal/core/capacity"
 	"github.com/savorytiller/savorytiller/internal/core/model"
@@ -35,6 +34,7 @@
 	owner     *model.Member
 	epoch     Epoch
 	reasked   bool
+	rank      int // of owner among the candidates
 	asked     model.Time
 	permitted bool
 	permitEnd model.Time
@@ -169,6 +169,8 @@
 		e.refuse(p, model.ReasonOverloaded)
 		return
 	}
+	p.phase = phaseAdmit
+	e.queue(p.service.ID).admitting[p.kind.Class]++
 	e.askOwner(p)
 }
 
@@ -178,74 +180,6 @@
 	}
 }
 
-func (e *Engine) askOwner(p *pending) {
-	p.owner = e.owner(p.service, p.key)
-	if p.owner == nil {
-		e.refuse(p, model.ReasonNoOwner)
-		return
-	}
-	p.phase, p.asked, p.epoch = phaseAdmit, e.now, e.epochs[p.owner.ID]
-	e.queue(p.service.ID).admitting[p.kind.Class]++
-	msg := Admit{Epoch: p.epoch, Service: p.service.ID, Key: p.key, Attempt: p.attempt, Digest: p.digest, Deadline: p.deadline.Sub(e.now)}
-	if p.owner.ID != e.view.Self.ID {
-		e.emit(CallAdmit{ID: p.id, To: *p.owner, Msg: msg, Timeout: min(e.cfg.AdmitTimeout, msg.Deadline)})
-		return
-	}
-	w := waiter{local: p.id}
-	if reply, ok := e.dedup.admit(e.now, w, msg, park(msg.Deadline)); ok {
-		e.admitted(p, reply)
-	} else {
-		e.startTimer(timer{at: e.now.Add(park(msg.Deadline)), kind: timerParked, key: dedupKey{msg.Service, msg.Key}})
-	}
-}
-
-// park returns how long a repeated request waits for the permitted attempt. It
-// leaves half of the caller's time for running it.
-func park(deadline time.Duration) time.Duration { return min(parkTime, deadline/2) }
-
-func (e *Engine) admitReplied(ev AdmitReplied) {
-	p := e.reqs[ev.ID]
-	if p == nil || p.phase != phaseAdmit {
-		return
-	}
-	if ev.Failed {
-		// The question may still arrive, or the permit may be on its way; this
-		// instance will not use it.
-		e.report(p, NotRun, nil)
-		e.queue(p.service.ID).admitting[p.kind.Class]--
-		e.finish(p, refusedAs(p.attempt), model.ReasonPeerUnreachable, nil)
-		return
-	}
-	e.epochs[p.owner.ID] = ev.Admission.Epoch
-	if ev.Admission.WrongEpoch {
-		e.reask(p)
-		return
-	}
-	e.admitted(p, ev.Admission)
-}
-
-// reask asks an owner again whose memory was not known or has changed. The
-// request is still in hand, so it is not late.
-func (e *Engine) reask(p *pending) {
-	e.queue(p.service.ID).admitting[p.kind.Class]--
-	if p.reasked {
-		e.finish(p, refusedAs(p.attempt), model.ReasonPeerUnreachable, nil)
-		return
-	}
-	p.reasked = true
-	e.askOwner(p)
-}
-
-func (e *Engine) admitted(p *pending, a Admission) {
-	e.queue(p.service.ID).admitting[p.kind.Class]--
-	if !a.Permitted {
-		e.finish(p, a.Outcome, a.Reason, a.Answer)
-		return
-	}
-	p.permitted, p.permitEnd = true, p.asked.Add(a.Validity)
-	e.wantSlot(p)
-}
-
 // dispatch sends the request to the server of its slot, if permit, deadline and
 // view still allow it.
 func (e *Engine) dispatch(p *pending) {
@@ -306,7 +240,7 @@
 	switch p.phase {
 	case phaseAdmit:
 		e.report(p, NotRun, nil)
-		e.queue(p.service.ID).admitting[p.kind.Class]--
+		e.endAdmission(p)
 		e.finish(p, refusedAs(p.attempt), reason, nil)
 	default:
 		e.leaveQueue(p)
@@ -325,34 +259,6 @@
 	e.finish(p, outcome, reason, nil)
 }
 
-// report tells the owner of the key what became of the attempt. A refusal
-// before admission is reported too, so that the next attempt is known to be
-// the first that can run.
-func (e *Engine) report(p *pending, s State, answer *StoredAnswer) {
-	if p.kind == nil || p.kind.Idempotent || p.key == "" || len(p.key) > MaxKeyLength || p.attempt <= 0 {
-		return
-	}
-	to := p.owner
-	if to == nil && e.view.Fresh(e.now) {
-		to = e.owner(p.service, p.key)
-	}
-	if to == nil {
-		return
-	}
-	epoch := p.epoch
-	if p.owner == nil {
-		epoch = e.epochs[to.ID]
-	}
-	msg := Report{Epoch: epoch, Service: p.service.ID, Key: p.key, Attempt: p.attempt, Digest: p.digest, State: s, Answer: answer}
-	if to.ID == e.view.Self.ID {
-		e.answerParked(e.dedup.report(e.now, msg))
-		return
-	}
-	if epoch != 0 {
-		e.emit(CallReport{To: *to, Msg: msg})
-	}
-}
-
 func (e *Engine) finish(p *pending, o model.Outcome, r model.Reason, a *StoredAnswer) {
 	delete(e.reqs, p.id)
 	f := Finish{ID: p.id, Outcome: o, Reason: r, Answer: a}
--- a/internal/core/request/slots.go
+++ b/internal/core/request/slots.go
@@ -4,7 +4,6 @@
 	"slices"
 
 	"github.com/savorytiller/savorytiller/internal/core/model"
-	"github.com/savorytiller/savorytiller/internal/core/placement"
 	"github.com/savorytiller/savorytiller/internal/core/view"
 )
 
@@ -26,12 +25,6 @@
 	ownersOf *view.View
 }
 
-// candidate is an instance with the hash that rendezvous hashing uses.
-type candidate struct {
-	member *model.Member
-	seed   uint64
-}
-
 type holder struct {
 	member *model.Member
 	slots  int
@@ -333,76 +326,3 @@
 	e.pool.Free(e.now, l.holding)
 	e.serveQueue(l.holding.Service)
 }
-
-func (e *Engine) peerAdmit(ev PeerAdmit) {
-	if ev.Msg.Epoch != e.epoch {
-		e.emit(ReplyAdmit{Call: ev.Call, Msg: Admission{Epoch: e.epoch, WrongEpoch: true}})
-		return
-	}
-	wait := park(ev.Msg.Deadline)
-	w := waiter{call: ev.Call}
-	reply, ok := e.dedup.admit(e.now, w, ev.Msg, wait)
-	if ok {
-		reply.Epoch = e.epoch
-		e.emit(ReplyAdmit{Call: ev.Call, Msg: reply})
-		return
-	}
-	e.startTimer(timer{at: e.now.Add(wait), kind: timerParked, key: dedupKey{ev.Msg.Service, ev.Msg.Key}})
-}
-
-func (e *Engine) answerParked(list []admission) {
-	for _, a := range list {
-		if a.to.call != 0 {
-			a.reply.Epoch = e.epoch
-			e.emit(ReplyAdmit{Call: a.to.call, Msg: a.reply})
-			continue
-		}
-		if p := e.reqs[a.to.local]; p != nil && p.phase == phaseAdmit {
-			e.admitted(p, a.reply)
-		}
-	}
-}
-
-// owner returns the instance that owns a key: by rendezvous hashing over the
-// live instances in the zones of the service, or over all live instances if
-// those zones have none.
-func (e *Engine) owner(svc *model.Service, key string) *model.Member {
-	q := e.queue(svc.ID)
-	if q.ownersOf != e.view {
-		q.owners, q.ownersOf = candidates(e.view, svc), e.view
-	}
-	hash := placement.Mix(uint64(svc.ID), placement.HashString(key))
-	var best *model.Member
-	bestScore := uint64(0)
-	for _, c := range q.owners {
-		if score := placement.Mix(hash, c.seed); best == nil || score > bestScore {
-			best, bestScore = c.member, score
-		}
-	}
-	return best
-}
-
-func candidates(v *view.View, svc *model.Service) []candidate {
-	zones := map[model.Zone]bool{}
-	for i := range svc.Servers {
-		if z := svc.Servers[i].Zone; !v.Config.Withdrawn(z) {
-			zones[z] = true
-		}
-	}
-	var in, all []candidate
-	for i := range v.Members.All() {
-		m := &v.Members.All()[i]
-		if m.Liveness != model.Live {
-			continue
-		}
-		c := candidate{m, placement.HashString(string(m.ID))}
-		all = append(all, c)
-		if zones[m.Zone] {
-			in = append(in, c)
-		}
-	}
-	if len(in) > 0 {
-		return in
-	}
-	return all
-}
--- a/internal/core/request/types.go
+++ b/internal/core/request/types.go
@@ -82,6 +82,8 @@
 		// another one and nothing was decided.
 		Epoch      Epoch
 		WrongEpoch bool
+		// UnknownKey is set if the owner knows nothing of the first attempt.
+		UnknownKey bool
 		Permitted  bool
 		// Validity is the life of the permit, counted by the receiving instance
 		// from before it asked.
