--- a/internal/core/request/engine_test.go
+++ b/internal/core/request/engine_test.go
@@ -178,8 +178,13 @@
 // Guards against an owner that forgets too early, permits an attempt twice, or
 // leaves repeated requests without the result that it has.
 func TestAtMostOnceAtTheOwner(t *testing.T) {
-	d := newDrive(request.Config{MaxKeys: 3}, 1)
-	a, _ := d.admit("k", 1)
+	d := newDrive(request.Config{MaxKeys: 4}, 1)
+	a, _ := d.admit("not run", 1)
+	require.True(t, a.Permitted)
+	d.report("not run", 1, request.NotRun, nil)
+	a, _ = d.admit("not run", 1)
+	require.Equal(t, model.ReasonRepeatedAttempt, a.Reason)
+	a, _ = d.admit("k", 1)
 	require.True(t, a.Permitted)
 	a, _ = d.admit("k", 1)
 	require.Equal(t, model.ReasonRepeatedAttempt, a.Reason)
