Do not say not-run of a retry that waits; do not blame servers for cancellations

Cause: an idempotent request whose first dispatch ended in doubt and whose retry waited for a slot was answered not-run when its caller left or its deadline passed. A caller that left before its request was sent counted as a failure of the server.

--- a/internal/core/request/dispatch.go
+++ b/internal/core/request/dispatch.go
@@ -44,10 +44,6 @@
 	if late := e.lateReason(p); late != model.ReasonNone {
 		reason = late
 	}
-	if p.maybeRan {
-		e.finish(p, model.OutcomeUnknown, reason, nil)
-		return
-	}
 	e.refuse(p, reason)
 }
 
--- a/internal/core/request/engine_test.go
+++ b/internal/core/request/engine_test.go
@@ -101,6 +101,21 @@
 	require.Empty(t, d.do(request.Dispatched{ID: id, Serial: second.Serial, Result: request.Answered, Status: 200}))
 }
 
+// Guards against "not run" of an idempotent request whose first dispatch may
+// have run and whose retry waits for a slot.
+func TestNotRunIsNotSaidOfRetry(t *testing.T) {
+	d := newDrive(request.Config{}, 1)
+	retried, actions := d.arrive("GET", "", 0, 0)
+	first, ok := find[request.Dispatch](actions)
+	require.True(t, ok)
+	d.arrive("GET", "", 0, 0) // gets the slot that the silent dispatch frees
+	_, ok = find[request.Dispatch](d.do(request.Dispatched{ID: retried, Serial: first.Serial, Result: request.Silent, Replayable: true}))
+	require.True(t, ok)
+	f, ok := find[request.Finish](d.do(request.CallerGone{ID: retried}))
+	require.True(t, ok)
+	require.Equal(t, model.OutcomeUnknown, f.Outcome)
+}
+
 // Guards against a process that was paused and dispatches a request past its
 // permit, its deadline or the lease of its view.
 func TestAtMostOnceAfterPauseWithRequestInHand(t *testing.T) {
--- a/internal/core/request/lifecycle.go
+++ b/internal/core/request/lifecycle.go
@@ -248,13 +248,17 @@
 	}
 }
 
-// refuse ends a request that is not running. Its own attempt has not run; what
-// happened to earlier ones is known only with a permit.
+// refuse ends a request that is not running. Its own attempt has not run, unless
+// an earlier dispatch ended in doubt; what happened to earlier attempts is known
+// only with a permit.
 func (e *Engine) refuse(p *pending, reason model.Reason) {
 	outcome := model.OutcomeNotRun
 	if p.key != "" && !p.permitted && (p.kind == nil || !p.kind.Idempotent) {
 		outcome = refusedAs(p.attempt)
 	}
+	if p.maybeRan {
+		outcome = model.OutcomeUnknown
+	}
 	e.report(p, NotRun, nil)
 	e.finish(p, outcome, reason, nil)
 }
--- a/internal/core/request/slots.go
+++ b/internal/core/request/slots.go
@@ -132,10 +132,6 @@
 	if p.tries > 0 {
 		reason = p.lastReason
 	}
-	if p.maybeRan {
-		e.finish(p, model.OutcomeUnknown, reason, nil)
-		return
-	}
 	e.refuse(p, reason)
 }
 
--- a/internal/traffic/requests/serve.go
+++ b/internal/traffic/requests/serve.go
@@ -202,6 +202,10 @@
 	ev.Replayable = !streamed
 	ev.Forwarded = h.forwarded
 	ev.Latency = h.w.o.Clock.Now().Sub(now)
+	if ev.Result == request.NotSent && ctx.Err() != nil {
+		// The caller's end, not the server's: nothing to retry or to observe.
+		ev.TooLate, ev.Replayable = true, false
+	}
 	if ev.Result != request.Answered && ev.Result != request.NotSent && ev.Result != request.ShedByServer {
 		switch {
 		case ctx.Err() != nil:
