--- a/internal/core/request/dispatch.go
+++ b/internal/core/request/dispatch.go
@@ -44,10 +44,6 @@
 	if late := e.lateReason(p); late != model.ReasonNone {
 		reason = late
 	}
-	if p.maybeRan {
-		e.finish(p, model.OutcomeUnknown, reason, nil)
-		return
-	}
 	e.refuse(p, reason)
 }
 
@@ -86,7 +82,7 @@
 	case ShedByServer:
 		return Shed, true
 	case Silent:
-		return Timeout, true
+		return Timeout, ev.Latency >= minTimeoutObserved
 	case Cancelled:
 		return Timeout, ev.Latency >= minTimeoutObserved && ev.DeadlinePassed
 	case BodyFailed:
