--- a/internal/adapter/peerrpc/stream.go
+++ b/internal/adapter/peerrpc/stream.go
@@ -2,6 +2,8 @@
 
 import (
 	"bufio"
+	"bytes"
+	"compress/flate"
 	"crypto/hmac"
 	"crypto/rand"
 	"crypto/sha256"
@@ -20,15 +22,21 @@
 )
 
 // Sizes of a frame in bytes. A frame is: payload length (4), key identifier (1),
-// sequence number (8), incarnation (8), length of the sender's name (1), the
-// name, authentication code (16), payload.
+// sequence number (8), incarnation (8), flags (1), length of the sender's name
+// (1), the name, authentication code (16), payload.
 const (
 	nonceSize  = 16
 	macSize    = 16
-	fixedSize  = 4 + 1 + 8 + 8 + 1
-	MaxMessage = 1<<20 + 64<<10 // a note of 1 MB with its envelope
+	fixedSize  = 4 + 1 + 8 + 8 + 1 + 1
+	MaxMessage = 1<<20 + 64<<10 // a note of 1 MB with its envelope, before compression
+	// compressFrom is the size from which a payload is compressed. Only
+	// transfers of notes and configurations are that large.
+	compressFrom = 8 << 10
 )
 
+// flagDeflate marks a payload that is compressed (RFC 1951).
+const flagDeflate = 1
+
 // writeTimeout ends a connection whose other end does not read.
 const writeTimeout = 5 * time.Second
 
@@ -97,6 +105,10 @@
 	if len(payload) > MaxMessage {
 		return merry.Wrap(port.ErrTooLarge, merry.AppendMessagef("%d bytes", len(payload)))
 	}
+	payload, flags, err := compress(payload)
+	if err != nil {
+		return err
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	id, key := s.keys.current()
@@ -105,7 +117,7 @@
 	frame = append(frame, id)
 	frame = binary.BigEndian.AppendUint64(frame, s.sent)
 	frame = binary.BigEndian.AppendUint64(frame, uint64(s.self.Incarnation))
-	frame = append(frame, byte(len(s.self.ID)))
+	frame = append(frame, flags, byte(len(s.self.ID)))
 	frame = append(frame, s.self.ID...)
 	frame = append(frame, s.mac(key, frame, payload, s.dialer)...)
 	frame = append(frame, payload...)
@@ -162,7 +174,45 @@
 	s.peer = from
 	s.expected++
 	s.received.Add(1)
-	return json.Unmarshal(rest[macSize:], v)
+	payload, err := expand(rest[macSize:], header[21])
+	if err != nil {
+		s.count.tooLarge.Add(1)
+		return err
+	}
+	return json.Unmarshal(payload, v)
+}
+
+func compress(payload []byte) ([]byte, byte, error) {
+	if len(payload) < compressFrom {
+		return payload, 0, nil
+	}
+	var b bytes.Buffer
+	w, err := flate.NewWriter(&b, flate.BestSpeed)
+	if err != nil {
+		return nil, 0, err
+	}
+	if _, err := w.Write(payload); err != nil {
+		return nil, 0, err
+	}
+	if err := w.Close(); err != nil {
+		return nil, 0, err
+	}
+	return b.Bytes(), flagDeflate, nil
+}
+
+// expand bounds the result, so that a small frame cannot fill the memory.
+func expand(payload []byte, flags byte) ([]byte, error) {
+	if flags&flagDeflate == 0 {
+		return payload, nil
+	}
+	out, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(payload)), MaxMessage+1))
+	if err != nil {
+		return nil, merry.Wrap(port.ErrForged, merry.WithCause(err))
+	}
+	if len(out) > MaxMessage {
+		return nil, port.ErrTooLarge
+	}
+	return out, nil
 }
 
 // Close implements jsonrpc2.ObjectStream.
--- /dev/null
+++ b/internal/adapter/platform/codec_test.go
@@ -0,0 +1,184 @@
+package platform
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/savorytiller/savorytiller/internal/core/model"
+	"github.com/savorytiller/savorytiller/internal/core/note"
+	"github.com/savorytiller/savorytiller/internal/port"
+)
+
+const (
+	lineService = `{"id":17,"name":"line","host":"line.local","virtual_address":"10.80.0.17:4000"}`
+	imgService  = `{"id":18,"name":"images","host":"images.local","virtual_address":"10.80.0.18:4000"}`
+	firstServer = `{"id":"s1","service":"line","zone":"a","weight":100,"slots":4,"connections":2000,"state":"active",` +
+		`"flow_address":"127.0.0.1:5101","request_address":"127.0.0.1:5201"}`
+	first = `{"format":1,"version":1,"base":0,"added":{"services":[` + lineService + `,` + imgService + `],"servers":[` + firstServer + `]}}`
+)
+
+// body returns note 2 with the given lists.
+func body(lists string) string { return `{"format":1,"version":2,"base":1,` + lists + `}` }
+
+func server(change ...string) string {
+	s := strings.NewReplacer("s1", "s2", "5101", "5102", "5201", "5202").Replace(firstServer)
+	return strings.NewReplacer(change...).Replace(s)
+}
+
+func apply(t *testing.T, c *model.Configuration, raw string) (*model.Configuration, error) {
+	t.Helper()
+	n, err := Codec{}.DecodeNote([]byte(raw))
+	if err != nil {
+		return nil, err
+	}
+	return note.Apply(c, n)
+}
+
+// Guards against a bad note that is applied in part, or refused with a reason
+// that does not tell the operators what is wrong.
+func TestBadNotesAreRefusedWhole(t *testing.T) {
+	base, err := apply(t, nil, first)
+	require.NoError(t, err)
+	added := func(s string) string { return body(`"added":{"servers":[` + s + `]}`) }
+	for _, c := range []struct {
+		raw    string
+		reason model.Reason
+		detail string
+	}{
+		{``, model.ReasonNoteMalformed, "unexpected end"},
+		{`{}`, model.ReasonNoteMalformed, "format is missing"},
+		{`[]`, model.ReasonNoteMalformed, "cannot unmarshal"},
+		{`{"format":2,"version":2,"base":1,"anything":true}`, model.ReasonNoteFormat, "format 2, supported is 1"},
+		{`{"format":1,"base":1}`, model.ReasonNoteMalformed, "version is 0 or missing"},
+		{`{"format":1,"version":-1,"base":1}`, model.ReasonNoteMalformed, "cannot unmarshal number -1"},
+		{`{"format":1,"version":2,"base":1} {}`, model.ReasonNoteMalformed, "after top-level value"},
+		{`{"format":1,"version":2,"version":3,"base":1}`, model.ReasonNoteMalformed, `field "version" is repeated`},
+		{`{"format":1,"version":2,"Version":3,"base":1}`, model.ReasonNoteMalformed, `field "Version" is repeated`},
+		{`{"format":1,"version":2,"base":1,"aded":{}}`, model.ReasonNoteMalformed, `unknown field "aded"`},
+		{`{"format":1,"version":1,"base":0}`, model.ReasonNoteOld, "version 1, in force is 1"},
+		{`{"format":1,"version":3,"base":2}`, model.ReasonNoteGap, "base 2, in force is 1"},
+		{`{"format":1,"version":2,"base":0,"withdrawn":{"servers":["s1"]}}`, model.ReasonNoteContradictory, "complete configuration changes"},
+		{strings.Repeat(" ", note.MaxSize) + first, model.ReasonNoteTooLarge, "allowed are 1048576"},
+		{body(`"withdrawn":{"servers":["s9"]}`), model.ReasonNoteContradictory, "withdrawn server s9 does not exist"},
+		{body(`"withdrawn":{"services":["none"]}`), model.ReasonNoteContradictory, "withdrawn service none does not exist"},
+		{body(`"withdrawn":{"zones":["a","a"]}`), model.ReasonNoteContradictory, "zone a is named twice"},
+		{body(`"added":{"zones":["a"]}`), model.ReasonNoteContradictory, "zone a returns but is not withdrawn"},
+		{body(`"changed":{"servers":[` + server() + `]}`), model.ReasonNoteContradictory, "changed server s2 does not exist"},
+		{body(`"changed":{"services":[` + strings.Replace(lineService, "17", "19", 1) + `]}`), model.ReasonNoteContradictory, "has id 19, in force is 17"},
+		{added(firstServer), model.ReasonNoteContradictory, "added server s1 exists already"},
+		{added(server() + "," + server()), model.ReasonNoteContradictory, "server s2 is named twice"},
+		{added(server(`"line"`, `"none"`)), model.ReasonNoteContradictory, `unknown service "none"`},
+		{added(server("5102", "5101")), model.ReasonNoteContradictory, "same flow address 127.0.0.1:5101"},
+		{added(server("5202", "5201", `"line"`, `"images"`)), model.ReasonNoteContradictory, "same request address 127.0.0.1:5201"},
+		{added(server(`"weight":100`, `"weight":0`)), model.ReasonNoteContradictory, "weight 0, allowed are 1 to 1000"},
+		{added(server(`"weight":100`, `"weight":1001`)), model.ReasonNoteContradictory, "weight"},
+		{added(server(`"slots":4`, `"slots":0`)), model.ReasonNoteContradictory, "0 slots, allowed are 1 to 1024"},
+		{added(server(`"slots":4`, `"slots":65540`)), model.ReasonNoteContradictory, "slots of server s2 is 65540"},
+		{added(server(`"connections":2000`, `"connections":1000001`)), model.ReasonNoteContradictory, "connections"},
+		{added(server(`"active"`, `"gone"`)), model.ReasonNoteMalformed, `state of server s2 is "gone"`},
+		{added(server(`127.0.0.1:5102`, `nowhere`)), model.ReasonNoteMalformed, "flow_address of server s2"},
+		{added(server(`"zone":"a"`, `"zone":""`)), model.ReasonNoteMalformed, "zone of server s2"},
+		{body(`"added":{"services":[` + strings.Replace(lineService, `"line"`, `"line2"`, 1) + `]}`), model.ReasonNoteContradictory, "same id 17"},
+		{body(`"added":{"services":[` + strings.NewReplacer("17", "19", `"line"`, `"l2"`, "line.local", "l2").Replace(
+			strings.Replace(lineService, "10.80.0.17", "10.80.0.18", 1)) + `]}`), model.ReasonNoteContradictory, "same virtual address 10.80.0.18:4000"},
+	} {
+		next, err := apply(t, base, c.raw)
+		require.Nil(t, next)
+		var refusal *note.Refusal
+		require.ErrorAs(t, err, &refusal, c.raw[:min(len(c.raw), 200)])
+		require.Equal(t, c.reason.String(), refusal.Reason.String(), "%.200s: %v", c.raw, err)
+		require.Contains(t, refusal.Detail, c.detail, "%.200s", c.raw)
+	}
+	require.Len(t, base.Services[0].Servers, 1, "a refused note changed the configuration in force")
+}
+
+// Guards against a decoder or a check that accepts a configuration with
+// contradictions, or fails on input that no operator would write.
+func FuzzDecodeNote(f *testing.F) {
+	f.Add(first)
+	f.Add(body(`"withdrawn":{"zones":["a"],"services":["images"],"servers":["s1"]}`))
+	f.Add(body(`"added":{"servers":[` + server() + `]},"changed":{"servers":[` + firstServer + `]}`))
+	f.Add(`{"format":1,"version":18446744073709551615,"base":1,"added":{"services":[null],"servers":[{}]}}`)
+	f.Add(strings.Repeat(`{"added":`, 40))
+	base, err := note.Apply(nil, mustDecode(first))
+	require.NoError(f, err)
+	f.Fuzz(func(t *testing.T, raw string) {
+		n, err := Codec{}.DecodeNote([]byte(raw))
+		if err != nil {
+			var refusal *note.Refusal
+			require.ErrorAs(t, err, &refusal)
+			return
+		}
+		for _, before := range []*model.Configuration{nil, base} {
+			next, err := note.Apply(before, n)
+			if err != nil {
+				continue
+			}
+			require.Greater(t, next.Version, model.Version(0))
+			require.Equal(t, next.Digest, note.Digest(next))
+			seen := map[string]bool{}
+			for i := range next.Services {
+				require.LessOrEqual(t, next.Services[i].ID, model.MaxServiceID)
+				for _, s := range next.Services[i].Servers {
+					for _, key := range []string{"id " + string(s.ID), "flow " + s.FlowAddress.String(), "request " + s.RequestAddress.String()} {
+						valid := !strings.HasSuffix(key, "invalid AddrPort")
+						require.False(t, valid && seen[key], "%s twice", key)
+						seen[key] = true
+					}
+				}
+			}
+		}
+	})
+}
+
+func mustDecode(raw string) *note.Note {
+	n, err := Codec{}.DecodeNote([]byte(raw))
+	if err != nil {
+		panic(err)
+	}
+	return n
+}
+
+// Guards against errors of the service that control cannot tell apart, and
+// against a damaged entry that hides the other instances.
+func TestClientReadsThePlatform(t *testing.T) {
+	mux := http.NewServeMux()
+	mux.HandleFunc("/v1/keys/release/latest", func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Revision", "7")
+		fmt.Fprintf(w, `{"version":3,"digest":"00000000000000ff"}%s`, strings.Repeat(" ", len(r.FormValue("watch"))))
+	})
+	mux.HandleFunc("/v1/keys/down", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) })
+	mux.HandleFunc("/v1/keys/large", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(make([]byte, maxValue+1)) })
+	mux.HandleFunc("/v1/instances", func(w http.ResponseWriter, _ *http.Request) {
+		fmt.Fprint(w, `{"instances":[{"id":"a-1","zone":"a","state":"leaving","peer_address":"127.0.0.1:1"},`+
+			`{"id":"a-2","zone":"a","state":"live","peer_address":"nowhere"}]}`)
+	})
+	s := httptest.NewServer(mux)
+	defer s.Close()
+	c, err := New(Options{ConfigURL: s.URL, InstancesURL: s.URL})
+	require.NoError(t, err)
+	ctx := context.Background()
+	value, revision, err := c.Watch(ctx, "release/latest", 6)
+	require.NoError(t, err)
+	require.Equal(t, uint64(7), revision)
+	latest, err := Codec{}.DecodeLatest(value)
+	require.NoError(t, err)
+	require.Equal(t, note.Latest{Version: 3, Digest: 255, HasDigest: true}, latest)
+	for key, expected := range map[string]error{"none": port.ErrNotFound, "down": port.ErrUnavailable, "large": port.ErrTooLarge} {
+		_, err = c.Read(ctx, key)
+		require.ErrorIs(t, err, expected, key)
+	}
+	members, err := c.Instances(ctx)
+	require.NoError(t, err)
+	require.Len(t, members, 1)
+	require.Equal(t, model.Leaving, members[0].Liveness)
+	s.Close()
+	_, err = c.Read(ctx, "release/latest")
+	require.ErrorIs(t, err, port.ErrUnavailable)
+}
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -17,8 +17,10 @@
 	"github.com/ansel1/merry/v2"
 	"github.com/go-logr/logr"
 
+	"github.com/savorytiller/savorytiller/internal/core/flow"
 	"github.com/savorytiller/savorytiller/internal/core/health"
 	"github.com/savorytiller/savorytiller/internal/core/model"
+	"github.com/savorytiller/savorytiller/internal/core/request"
 	"github.com/savorytiller/savorytiller/internal/core/view"
 	"github.com/savorytiller/savorytiller/internal/port"
 )
@@ -105,6 +107,30 @@
 	}
 }
 
+// ObserveServer implements port.HealthObserver for requests.
+func (c *Control) ObserveServer(o request.Observation) {
+	kinds := map[request.Health]health.Kind{request.Success: health.Success, request.Failure: health.Failure,
+		request.Timeout: health.Timeout, request.Shed: health.Shed}
+	if kind, ok := kinds[o.Result]; ok {
+		c.Observe(health.Observation{Server: o.Server, Kind: kind, Latency: o.Latency})
+	}
+}
+
+// repeatsOfTimeout is the repetition of a SYN that counts as a timeout. The
+// first one may be a lost packet, and later ones would let a single caller
+// behind a broken path speak against a server several times.
+const repeatsOfTimeout = 2
+
+// ObserveFlow takes what a flow worker observed.
+func (c *Control) ObserveFlow(o flow.Observation) {
+	switch {
+	case o.Kind == flow.ObservedEstablished || o.Kind == flow.ObservedProgress:
+		c.Observe(health.Observation{Server: o.Server, Kind: health.Success, Unit: health.Connection})
+	case o.Kind == flow.ObservedRepeatedSYN && o.Repeats == repeatsOfTimeout:
+		c.Observe(health.Observation{Server: o.Server, Kind: health.Timeout, Unit: health.Connection})
+	}
+}
+
 // Leave announces that this instance leaves. Views from then on have
 // ShuttingDown set; peers learn it with the next heartbeats.
 func (c *Control) Leave() { c.post(evLeave{}) }
@@ -209,6 +235,7 @@
 var (
 	_ port.ViewReader      = (*Control)(nil)
 	_ port.ObservationSink = (*Control)(nil)
+	_ port.HealthObserver  = (*Control)(nil)
 )
 
 // noRecorder drops everything.
--- a/internal/control/machine.go
+++ b/internal/control/machine.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"errors"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -13,6 +14,7 @@
 	"github.com/savorytiller/savorytiller/internal/core/source"
 	"github.com/savorytiller/savorytiller/internal/core/spread"
 	"github.com/savorytiller/savorytiller/internal/core/view"
+	"github.com/savorytiller/savorytiller/internal/port"
 )
 
 // Times of the control goroutine.
@@ -148,8 +150,10 @@
 	case evInstances:
 		m.handleInstances(e)
 	case evHealth:
-		m.health.Reported(now, e.server, e.report, e.err != nil)
 		m.servers.polling--
+		if !errors.Is(e.err, port.ErrNotFound) && !errors.Is(e.err, errBusy) {
+			m.health.Reported(now, e.server, e.report, e.err != nil)
+		}
 	}
 	m.work()
 }
--- a/internal/control/servers.go
+++ b/internal/control/servers.go
@@ -90,7 +90,10 @@
 	if s.Zone != m.o.Self.Zone {
 		// Owner and server of a flow are in one zone, and slots are held by
 		// instances of the server's zone.
-		s.Warmth, s.Reason = view.Warm, model.ReasonOtherZone
+		s.Warmth = view.Warm
+		if s.State == model.ServerDraining {
+			s.Reason = model.ReasonServerDraining
+		}
 		return
 	}
 	st := m.health.Standing(m.now, s.ID)
@@ -98,7 +101,7 @@
 	own := m.ownSlots(s)
 	s.NewWork = st.NewWork && s.State == model.ServerActive && !m.leaving
 	if until := m.notes.quarantine.Until(s.Service, &s.Server); m.now.Before(until) {
-		s.NewWork, s.Reason = false, model.ReasonServerCold
+		s.NewWork, s.Reason = false, model.ReasonServerQuarantined
 		m.servers.changeBy(until)
 	}
 	switch {
--- a/internal/core/model/reason.go
+++ b/internal/core/model/reason.go
@@ -37,6 +37,7 @@
 	ReasonServerFailed
 	ReasonServerDraining
 	ReasonServerCold
+	ReasonServerQuarantined
 	ReasonNoOwner
 	ReasonIdle
 
@@ -105,6 +106,7 @@
 	ReasonServerFailed:          "server_failed",
 	ReasonServerDraining:        "server_draining",
 	ReasonServerCold:            "server_cold",
+	ReasonServerQuarantined:     "server_quarantined",
 	ReasonNoOwner:               "no_owner",
 	ReasonIdle:                  "idle",
 	ReasonOverloaded:            "overloaded",
