--- a/internal/adapter/peerrpc/peerrpc_test.go
+++ b/internal/adapter/peerrpc/peerrpc_test.go
@@ -188,12 +188,15 @@
 	p := &proxy{t: t, to: target.PeerAddress.String(), recorded: make(chan []byte, 16)}
 	_, err := call(a, p.listen(), "hello", long)
 	require.NoError(t, err)
-	<-p.recorded // the nonce
-	frame := <-p.recorded
+	var sent []byte
+	for len(p.recorded) > 0 {
+		sent = append(sent, <-p.recorded...)
+	}
+	frame := sent[nonceSize:]
 
 	conn, err := net.Dial("tcp", target.PeerAddress.String())
 	require.NoError(t, err)
-	nonces, err := handshake(conn, true, long)
+	_, err = handshake(conn, true, long)
 	require.NoError(t, err)
 	_, err = conn.Write(frame)
 	require.NoError(t, err)
@@ -203,7 +206,7 @@
 
 	conn, err = net.Dial("tcp", target.PeerAddress.String())
 	require.NoError(t, err)
-	nonces, err = handshake(conn, true, long)
+	nonces, err := handshake(conn, true, long)
 	require.NoError(t, err)
 	out := &stream{conn: conn, keys: a.keys, self: a.options.Self, dialer: true, nonces: nonces, count: &a.count}
 	for range 2 {
