--- a/cmd/savoryload/main.go
+++ b/cmd/savoryload/main.go
@@ -21,6 +21,7 @@
 	Platform   string        `required:"" help:"Address of the platform stand-in."`
 	Backend    string        `required:"" help:"Control address of the backend stand-in."`
 	Duration   time.Duration `default:"25s" help:"Time during which requests are started."`
+	WarmUp     time.Duration `default:"5s" help:"Time before the first feed opens."`
 	Seed       uint64        `default:"1" help:"Seed of all random choices."`
 	Scale      float64       `default:"1" help:"Factor on the request rates."`
 	MinService float64       `default:"0.9" help:"Smallest accepted share of completed operations."`
@@ -34,7 +35,7 @@
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	report, err := load.Run(ctx, load.Options{Deployment: c.Deployment, Fabric: c.Fabric, Platform: c.Platform,
-		Backend: c.Backend, Duration: c.Duration, Seed: c.Seed, Scale: c.Scale, Unplanned: c.Unplanned, MinService: c.MinService})
+		Backend: c.Backend, Duration: c.Duration, WarmUp: c.WarmUp, Seed: c.Seed, Scale: c.Scale, Unplanned: c.Unplanned, MinService: c.MinService})
 	parser.FatalIfErrorf(err)
 	if c.JSON != "" {
 		encoded, err := json.MarshalIndent(report, "", "  ")
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -33,15 +33,14 @@
   start_standins --delay 1ms
   start_fleet
   start_load "$seconds"
-  sleep 4
+  sleep 8 # servers warm up, then feeds open
 }
 
 run_dosenfalz() {
-  begin dosenfalz 17 halle-a halle-b halle-c qs-labor
+  begin dosenfalz 18 halle-a halle-b halle-c qs-labor
   echo "   note 2: line-16 is added, line-03 drains, image-04 is withdrawn"
   publish "add=line-control&drain=line-03&withdraw=image-04"
   await_version
-  sleep 2
   replace_first
   check_versions
   finish_load
@@ -55,9 +54,8 @@
   echo "   note 3: pkc-b is taken out of service"
   publish "zone_out=pkc-b"
   await_version
-  sleep 1
   replace_first
-  sleep 2
+  sleep 1
   echo "   note 4: pkc-b returns"
   publish "zone_in=pkc-b"
   await_version
--- a/scripts/faults.sh
+++ b/scripts/faults.sh
@@ -115,9 +115,9 @@
   echo "== faults in $name, seed $seed"
   start_standins --delay 1ms --loss 0.001
   start_fleet
-  start_load 70 --unplanned --min-service 0.8
+  start_load 75 --unplanned --min-service 0.8
   began=$(date +%s)
-  sleep 5
+  sleep 9
   local rounds=(kill_with_cold_server pause_with_service_down kill_with_service_stale zone_with_drain
     server_crash_with_silence truncation_with_shedding)
   while [ ${#rounds[@]} -gt 0 ]; do
