--- a/internal/adapter/httpfront/handler.go
+++ b/internal/adapter/httpfront/handler.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -23,22 +24,39 @@
 	HeaderReason  = "Outcome-Reason"
 )
 
-type front struct{ handler port.RequestServer }
+type front struct {
+	handler   port.RequestServer
+	recorder  port.Recorder
+	maxHeader int
+}
 
 func (f *front) serve(w http.ResponseWriter, r *http.Request) {
 	a := &answer{w: w, method: r.Method}
+	control := http.NewResponseController(w)
+	// Without it, net/http reads up to 256 kB of the body before it sends an
+	// answer, while the body may still be streamed to a server.
+	_ = control.EnableFullDuplex()
+	defer func() {
+		if a.refused && r.ContentLength != 0 {
+			discard(control, r.Body)
+		}
+	}()
 	in, ok := incoming(r)
-	if !ok {
+	if reason := f.check(r, ok); reason != model.ReasonNone {
+		// An earlier attempt with the key may have run.
 		outcome := model.OutcomeNotRun
 		if in.Key != "" && in.Attempt != 1 {
 			outcome = model.OutcomeUnknown
 		}
-		a.Refuse(outcome, model.ReasonBadRequest)
+		if f.recorder != nil {
+			f.recorder.Count("request", reason)
+		}
+		a.Refuse(outcome, reason)
 		return
 	}
 	// Bounds a caller that stops sending its body. The service's own limit is
 	// shorter and applies as well.
-	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyTimeout(in)))
+	_ = control.SetReadDeadline(time.Now().Add(bodyTimeout(in)))
 	f.handler.Serve(r.Context(), &port.CallerRequest{
 		Incoming: in,
 		Target:   r.URL.RequestURI(),
@@ -51,6 +69,38 @@
 	}
 }
 
+// Limits of what is read of a refused body.
+const (
+	discardTime  = time.Second
+	discardBytes = 8 << 20
+)
+
+// discard sends the refusal and then reads the rest of the body. A connection
+// that is closed with unread bytes is reset, and a caller that is still sending
+// would lose the refusal.
+func discard(control *http.ResponseController, body io.Reader) {
+	_ = control.Flush()
+	_ = control.SetReadDeadline(time.Now().Add(discardTime))
+	_, _ = io.CopyN(io.Discard, body, discardBytes)
+}
+
+// check returns why the head of a request is refused, or ReasonNone.
+func (f *front) check(r *http.Request, decoded bool) model.Reason {
+	size := len(r.RequestURI)
+	for name, values := range r.Header {
+		for _, value := range values {
+			size += len(name) + len(value)
+		}
+	}
+	switch {
+	case size > f.maxHeader:
+		return model.ReasonTooLarge
+	case !decoded:
+		return model.ReasonBadRequest
+	}
+	return model.ReasonNone
+}
+
 // maxBodyTime bounds the time for receiving a request body if the caller gives
 // no timeout.
 const maxBodyTime = 2 * time.Minute
@@ -87,23 +137,25 @@
 	return in, true
 }
 
-// hostName returns the Host header without its port.
+// hostName returns the Host header in lower case and without its port.
 func hostName(host string) string {
 	if name, _, err := net.SplitHostPort(host); err == nil {
-		return name
+		host = name
 	}
-	return host
+	return strings.ToLower(host)
 }
 
 // answer implements port.CallerAnswer.
 type answer struct {
 	w      http.ResponseWriter
 	method string
-	failed bool
+	// refused and failed say how the answer ended.
+	refused, failed bool
 }
 
 // Refuse implements port.CallerAnswer.
 func (a *answer) Refuse(o model.Outcome, r model.Reason) {
+	a.refused = true
 	h := a.w.Header()
 	h.Set(HeaderOutcome, o.String())
 	h.Set(HeaderReason, r.String())
