--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -210,12 +210,35 @@
     --duration "${seconds}s" --seed "$seed" --json "$work/report.json" "$@"
 }
 
+# costs prints the highest memory, CPU time and bytes to peers of the running
+# instances, for the whole process and since its start.
+costs() {
+  local id metrics uptime memory=0 cpu=0 bytes=0 value
+  for id in "${instances[@]}"; do
+    kill -0 "${pids[$id]:-0}" 2>/dev/null || continue
+    metrics=$(call GET "http://$(field "$work/$id.addresses" operators)/metrics" | tr -d ' \n') || continue
+    uptime=$(call GET "http://$(field "$work/$id.addresses" operators)/status" | tr -d ' \n' |
+      sed -n 's/.*"uptime_ms":\([0-9]*\).*/\1/p')
+    value=$(gauge process.memory_bytes)
+    memory=$((value > memory ? value : memory))
+    value=$(($(gauge process.cpu_ms) * 1000 / uptime))
+    cpu=$((value > cpu ? value : cpu))
+    value=$(($(gauge peer.bytes_sent) * 1000 / uptime))
+    bytes=$((value > bytes ? value : bytes))
+  done
+  echo "  instances, highest of each: $((memory / 1000000)) MB memory, $((cpu / 10)).$((cpu % 10)) % of a core," \
+    "$bytes bytes/s to peers over TCP"
+}
+
+gauge() { sed -n "s/.*\"$1\":\([0-9]*\).*/\1/p" <<<"$metrics"; }
+
 # finish_load prints the summary and returns the exit status of the load tool.
 finish_load() {
   local status=0
   wait "${pids[load]}" || status=$?
   unset "pids[load]"
   cat "$work/load.log"
+  costs
   echo "  configuration service: $(call GET "http://$platform/standin/stats")"
   return "$status"
 }
