--- a/internal/core/request/slots.go
+++ b/internal/core/request/slots.go
@@ -70,7 +70,10 @@
 }
 
 func (e *Engine) takeOwn(p *pending) bool {
-	h, ok := e.pool.Take(e.now, p.service.ID, p.kind.Class, p.failed)
+	h, ok := e.pool.Take(e.now, p.service.ID, p.kind.Class, slices.Concat(p.failed, p.avoid))
+	if !ok && len(p.avoid) > 0 {
+		h, ok = e.pool.Take(e.now, p.service.ID, p.kind.Class, p.failed)
+	}
 	if !ok {
 		return false
 	}
@@ -128,11 +131,15 @@
 
 // noSlot ends a request that found no slot.
 func (e *Engine) noSlot(p *pending) {
+	reason := model.ReasonOverloaded
+	if p.tries > 0 {
+		reason = p.lastReason
+	}
 	if p.maybeRan {
-		e.finish(p, model.OutcomeUnknown, model.ReasonOverloaded, nil)
+		e.finish(p, model.OutcomeUnknown, reason, nil)
 		return
 	}
-	e.refuse(p, model.ReasonOverloaded)
+	e.refuse(p, reason)
 }
 
 // acquire asks another instance for a slot.
@@ -254,8 +261,8 @@
 }
 
 // lentServer returns a server that another instance lends a slot of, if this
-// instance's view has nothing against it. A cold server is usable: its home
-// lends within the allowance.
+// instance's view has nothing against it. A cold server and one of another zone
+// are usable: the lender's view decides about them.
 func (e *Engine) lentServer(id model.ServerID) (*view.Server, bool) {
 	if e.view == nil {
 		return nil, false
@@ -264,7 +271,11 @@
 	if s == nil || s.State != model.ServerActive || s.Warmth == view.Failed {
 		return s, false
 	}
-	return s, s.NewWork || s.Reason == model.ReasonServerCold || s.Reason == model.ReasonNone
+	switch s.Reason {
+	case model.ReasonNone, model.ReasonServerCold, model.ReasonOtherZone:
+		return s, true
+	}
+	return s, s.NewWork
 }
 
 func (e *Engine) member(id model.InstanceID) *model.Member {
