Ask each instance on a flow's way for its own decision when explaining

The demo showed that an explanation from one instance's view is wrong for other availability zones: only instances of a server's zone know whether it takes new work. /explain now asks each instance over flow.explain. The property test also showed that a shard with one record refuses to place a flow of another instance; the shard of the explanation has room for 64.

--- a/internal/adapter/admin/admin.go
+++ b/internal/adapter/admin/admin.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"context"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -27,7 +28,7 @@
 )
 
 // Source gives what the endpoints show. All functions are safe for concurrent
-// use and return at once.
+// use; all but Explain return at once.
 type Source struct {
 	Clock     port.Clock
 	Views     port.ViewReader
@@ -35,8 +36,8 @@
 	Decisions func() []port.Decision
 	// Status returns everything but the parts that Status fills from the view.
 	Status func() Status
-	// Explain returns where a flow goes with the given view's tables.
-	Explain func(key model.FlowKey) Flow
+	// Explain returns where a new flow goes. It may ask other instances.
+	Explain func(ctx context.Context, key model.FlowKey) Flow
 }
 
 // Server returns the HTTP server of the endpoints. The caller starts it on a
@@ -80,7 +81,7 @@
 			answer(w, http.StatusBadRequest, Problem{Error: err.Error()})
 			return
 		}
-		flow := s.Explain(key)
+		flow := s.Explain(r.Context(), key)
 		flow.Service, flow.Protocol = query.Get("service"), cmp.Or(query.Get("protocol"), protocolNameTCP)
 		answer(w, http.StatusOK, Explanation{Flow: &flow})
 		return
--- a/internal/adapter/admin/types.go
+++ b/internal/adapter/admin/types.go
@@ -1,5 +1,5 @@
 // Package admin serves the operators' HTTP endpoints: /ready, /status, /metrics
-// and /explain. It reads snapshots only and never waits for another thread.
+// and /explain. It reads snapshots and never waits for the threads that decide.
 package admin
 
 import (
@@ -60,13 +60,11 @@
 
 // Member is what this instance believes about another one, and why.
 type Member struct {
-	ID          string `json:"id"`
-	Zone        string `json:"zone"`
-	Incarnation uint64 `json:"incarnation"`
-	Liveness    string `json:"liveness"`
-	Why         string `json:"why"`
-	// Version is the release note that the member last reported.
-	Version        uint64 `json:"version"`
+	ID             string `json:"id"`
+	Zone           string `json:"zone"`
+	Incarnation    uint64 `json:"incarnation"`
+	Liveness       string `json:"liveness"`
+	Why            string `json:"why"`
 	FlowAddress    string `json:"flow_address"`
 	PeerAddress    string `json:"peer_address"`
 	RequestAddress string `json:"request_address"`
@@ -123,7 +121,7 @@
 	Detail  string `json:"detail,omitempty"`
 }
 
-// Flow explains where the first packet of a flow goes with the present view.
+// Flow explains where the first packet of a new flow goes.
 type Flow struct {
 	Service     string `json:"service"`
 	Protocol    string `json:"protocol"`
--- a/internal/adapter/operatorcli/show.go
+++ b/internal/adapter/operatorcli/show.go
@@ -104,9 +104,9 @@
 		return err
 	}
 	return r.print(s.Members, func(w io.Writer) {
-		t := newTable(w, "INSTANCE", "ZONE", "STATE", "NOTE", "FLOWS", "WHY")
+		t := newTable(w, "INSTANCE", "ZONE", "STATE", "FLOWS", "WHY")
 		for _, m := range s.Members {
-			t.row(m.ID, m.Zone, m.Liveness, m.Version, m.FlowAddress, m.Why)
+			t.row(m.ID, m.Zone, m.Liveness, m.FlowAddress, m.Why)
 		}
 		t.flush()
 	})
--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -29,8 +29,13 @@
 	"github.com/savorytiller/savorytiller/internal/traffic/requests"
 )
 
-// ErrStart means that a part could not be created.
-var ErrStart = merry.Sentinel("cannot start")
+// Errors of this package.
+var (
+	// ErrStart means that a part could not be created.
+	ErrStart = merry.Sentinel("cannot start")
+	// ErrNoMember means that an instance is not in the view.
+	ErrNoMember = merry.Sentinel("not a member")
+)
 
 // Instance is an entry instance with its open sockets and its parts.
 type Instance struct {
@@ -178,6 +183,7 @@
 }
 
 func (i *Instance) newOperators() error {
+	i.peers.Handle(methodExplain, i.handleExplain)
 	i.operators = admin.Source{
 		Clock:     i.clock,
 		Views:     i.control,
--- a/internal/core/explain/explain.go
+++ b/internal/core/explain/explain.go
@@ -11,133 +11,125 @@
 	"github.com/savorytiller/savorytiller/internal/core/view"
 )
 
-// maxSteps bounds the decisions that are followed. A packet passes at most
+// MaxSteps bounds the instances that decide about one packet. It passes at most
 // flow.MaxHops instances on its way to the owner, which may then ask each
-// availability zone once for a place.
-const maxSteps = 64
+// availability zone once for a place and gets an answer from each.
+const MaxSteps = 64
 
-// Flow is where the first packet of a flow goes with a view.
-type Flow struct {
+// shardFlows is the size of the shard that decides. A shard gives copies of other
+// instances' flows only a part of its records, so it must have room for several.
+const shardFlows = 64
+
+// Placement is what follows for a flow from the configuration alone.
+type Placement struct {
 	Fingerprint uint64
 	Zone        model.Zone
-	// Owner is the instance that decides about the flow.
-	Owner model.InstanceID
-	// Path lists the instances that the packet passes, this one first.
-	Path []model.InstanceID
 	// TableChoice is the server that the lookup table names.
 	TableChoice model.ServerID
-	// Server gets the flow; empty if none does, for Reason.
-	Server model.ServerID
-	Reason model.Reason
-	Steps  []string
+	Steps       []string
 }
 
-// NewFlow returns where the first packet of a flow goes that no instance knows
-// yet. A known flow keeps its server. What other instances decide is taken from
-// this instance's view; the connections that are in use are not part of it.
-func NewFlow(v *view.View, now model.Time, key model.FlowKey) Flow {
-	e := Flow{Fingerprint: flow.Fingerprint(key)}
+// Place explains the placement of a flow under a view.
+func Place(v *view.View, key model.FlowKey) Placement {
+	p := Placement{Fingerprint: flow.Fingerprint(key)}
 	if !v.Ready() {
-		e.Reason = model.ReasonNoConfiguration
-		e.step("no release note is in force, nothing is sent")
-		return e
+		p.step("no release note is in force, nothing is sent")
+		return p
 	}
-	e.placement(v, key)
-	e.follow(v, now, key)
-	return e
-}
-
-// placement explains what follows from the configuration alone.
-func (e *Flow) placement(v *view.View, key model.FlowKey) {
 	service := v.Config.Service(key.Service)
 	if service == nil {
-		e.step("release note %d has no service with the number %d", v.Config.Version, key.Service)
-		return
+		p.step("release note %d has no service with the number %d", v.Config.Version, key.Service)
+		return p
 	}
 	generation := v.Tables[key.Service].Current()
 	if generation == nil {
-		e.step("service %s has no lookup table", service.Name)
-		return
+		p.step("service %s has no lookup table", service.Name)
+		return p
 	}
-	e.step("release note %d: service %s has %d availability zones in service", generation.Version, service.Name,
+	p.step("release note %d: service %s has %d availability zones in service", generation.Version, service.Name,
 		len(generation.Zones))
-	zone := generation.Zone(e.Fingerprint)
+	zone := generation.Zone(p.Fingerprint)
 	if zone == nil {
-		return
+		return p
 	}
-	e.Zone = zone.Zone
-	e.step("rendezvous hashing over the zones, weighted by their servers, gives %s", zone.Zone)
-	choice := zone.Table.Lookup(e.Fingerprint)
+	p.Zone = zone.Zone
+	p.step("rendezvous hashing over the zones, weighted by their servers, gives %s", zone.Zone)
+	choice := zone.Table.Lookup(p.Fingerprint)
 	if choice == nil {
-		e.step("the lookup table of %s is empty", zone.Zone)
-		return
-	}
-	e.TableChoice = choice.ID
-	switch server := v.Servers[choice.ID]; {
-	case server == nil:
-		e.step("the lookup table gives %s, which is out of service", choice.ID)
-	case server.NewWork:
-		e.step("the lookup table gives %s, which is %s and takes new work from this instance", choice.ID, server.Warmth)
-	default:
-		e.step("the lookup table gives %s, which is %s and takes no new work from this instance: %s", choice.ID,
-			server.Warmth, server.Reason)
+		p.step("%s has no server", zone.Zone)
+		return p
 	}
+	p.TableChoice = choice.ID
+	p.step("the lookup table of %s gives %s", zone.Zone, choice.ID)
+	return p
 }
 
-// follow runs the decisions of the instances that the packet passes.
-func (e *Flow) follow(v *view.View, now model.Time, key model.FlowKey) {
-	m := flow.Message{Kind: flow.KindPacket, Key: key, Fingerprint: e.Fingerprint, Flags: flow.FlagSYN}
-	at := v.Self
-	e.Owner = at.ID
-	for range maxSteps {
-		e.Path = append(e.Path, at.ID)
-		instead := *v
-		instead.Self = at
-		var d flow.Decision
-		flow.NewShard(flow.DefaultSettings(1, 1)).Packet(&instead, now, &m, &d)
-		e.Reason = d.Reason
-		switch d.Verb {
-		case flow.Deliver:
-			e.Server = serverAt(v, d.Service, d.To)
-			e.step("%s sends the packet to %s: %s", at.ID, e.Server, d.Reason)
-			return
-		case flow.Drop:
-			e.step("%s drops the packet: %s", at.ID, d.Reason)
-			return
-		}
-		next, ok := memberAt(v, d.To)
-		if !ok {
-			e.step("%s passes the packet on to %s, which is no member: %s", at.ID, d.To, d.Reason)
-			return
-		}
-		e.step("%s passes the packet on to %s: %s", at.ID, next.ID, d.Reason)
-		if d.Reason == model.ReasonRelayToOwner {
-			e.Owner = next.ID
+func (p *Placement) step(format string, args ...any) {
+	p.Steps = append(p.Steps, fmt.Sprintf(format, args...))
+}
+
+// Decision is what one instance does with the first packet of a flow.
+type Decision struct {
+	Reason model.Reason
+	// Server gets the packet, or Next decides; both are empty if it is dropped.
+	Server model.ServerID
+	Next   model.InstanceID
+	// Forwarded is the message that Next gets.
+	Forwarded flow.Message
+	Step      string
+}
+
+// First returns the first packet of a flow as it comes from the fabric.
+func First(key model.FlowKey) flow.Message {
+	return flow.Message{Kind: flow.KindPacket, Key: key, Fingerprint: flow.Fingerprint(key), Flags: flow.FlagSYN}
+}
+
+// Decide returns what the instance of the view does with the first packet of a
+// flow that it does not know. A known flow keeps its server. The connections in
+// use are not part of a view, so a server at its limit is not seen.
+func Decide(v *view.View, now model.Time, m flow.Message) Decision {
+	var d flow.Decision
+	flow.NewShard(flow.DefaultSettings(1, shardFlows)).Packet(v, now, &m, &d)
+	out := Decision{Reason: d.Reason}
+	if v == nil {
+		out.Step = "the instance has no view yet"
+		return out
+	}
+	self := v.Self.ID
+	switch d.Verb {
+	case flow.Deliver:
+		server := serverAt(v, d.Service, d.To)
+		out.Server = server.ID
+		out.Step = fmt.Sprintf("%s sends the packet to %s, which is %s: %s", self, server.ID, server.Warmth, d.Reason)
+	case flow.Forward:
+		out.Step = fmt.Sprintf("%s passes the packet on to %s, which is no member: %s", self, d.To, d.Reason)
+		if next, ok := memberAt(v, d.To); ok {
+			out.Next = next
+			out.Step = fmt.Sprintf("%s passes the packet on to %s: %s", self, next, d.Reason)
 		}
-		m.Kind, m.Service, m.Sender = d.Out.Kind, d.Service, at.FlowAddress
+		m.Kind, m.Service, m.Sender = d.Out.Kind, d.Service, v.Self.FlowAddress
 		m.Hops, m.Attempt, m.Server = d.Out.Hops, d.Out.Attempt, d.Out.Server
-		at = next
+		out.Forwarded = m
+	default:
+		out.Step = fmt.Sprintf("%s drops the packet: %s", self, d.Reason)
 	}
+	return out
 }
 
-func serverAt(v *view.View, service model.ServiceID, address netip.AddrPort) model.ServerID {
-	for id, server := range v.Servers {
+func serverAt(v *view.View, service model.ServiceID, address netip.AddrPort) view.Server {
+	for _, server := range v.Servers {
 		if server.Service == service && server.FlowAddress == address {
-			return id
+			return *server
 		}
 	}
-	return ""
+	return view.Server{}
 }
 
-func memberAt(v *view.View, address netip.AddrPort) (model.Member, bool) {
+func memberAt(v *view.View, address netip.AddrPort) (model.InstanceID, bool) {
 	for _, m := range v.Members.All() {
 		if m.FlowAddress == address {
-			return m, true
+			return m.ID, true
 		}
 	}
-	return model.Member{}, false
-}
-
-func (e *Flow) step(format string, args ...any) {
-	e.Steps = append(e.Steps, fmt.Sprintf(format, args...))
+	return "", false
 }
