--- a/internal/adapter/metrics/metrics_test.go
+++ b/internal/adapter/metrics/metrics_test.go
@@ -82,3 +82,19 @@
 	require.LessOrEqual(t, len(all), 2*maxHistograms+1)
 	require.EqualValues(t, 4*maxHistograms, total, "a value of a tenant past the limit is counted elsewhere, not lost")
 }
+
+// Guards against a counter that allocates, since each packet is counted.
+func TestCountAllocatesNothing(t *testing.T) {
+	r := New(1)
+	part := fmt.Sprint("fl", "ow")
+	require.Zero(t, testing.AllocsPerRun(100, func() { r.Count(part, model.ReasonKnownFlow) }))
+}
+
+func BenchmarkCount(b *testing.B) {
+	r := New(1)
+	part := fmt.Sprint("fl", "ow")
+	b.ReportAllocs()
+	for b.Loop() {
+		r.Count(part, model.ReasonKnownFlow)
+	}
+}
