--- a/cmd/savorytillerd/main.go
+++ b/cmd/savorytillerd/main.go
@@ -16,8 +16,11 @@
 
 // Exit codes besides 0.
 const (
-	exitFailed   = 1
-	exitSettings = 2
+	// exitFailed means that the instance could not start, a part failed, or the
+	// shutdown was interrupted.
+	exitFailed = 1
+	// exitUsage means wrong flags or settings.
+	exitUsage = 2
 )
 
 type flags struct {
@@ -28,9 +31,14 @@
 
 func main() {
 	var f flags
-	kong.Parse(&f, kong.Name("savorytillerd"),
+	parser := kong.Must(&f, kong.Name("savorytillerd"),
 		kong.Description("Entry instance of the savorytiller layer-4 load balancer. "+
-			"SIGTERM starts a graceful shutdown; a second one ends the process at once."))
+			"SIGTERM starts a graceful shutdown; a second one ends the process at once. "+
+			"Exit codes: 0 done, 1 failed or interrupted, 2 wrong flags or settings."))
+	if _, err := parser.Parse(os.Args[1:]); err != nil {
+		fmt.Fprintln(os.Stderr, "savorytillerd:", err)
+		os.Exit(exitUsage)
+	}
 	os.Exit(run(f))
 }
 
@@ -38,7 +46,7 @@
 	s, err := settings.Load(f.Config)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
-		return exitSettings
+		return exitUsage
 	}
 	if f.Check {
 		fmt.Printf("%s: settings of instance %s are valid\n", f.Config, s.Instance.ID)
