--- a/internal/control/machine.go
+++ b/internal/control/machine.go
@@ -332,8 +332,13 @@
 	m.pub.self, m.pub.members = m.members.Self(), placement.NewMembers(all)
 	m.servers.watcher = m.isWatcher()
 	m.servers.zones = countZones(all)
-	m.refreshHomes()
-	m.rebuild = true
+	m.renewAt = m.now
+	// Homes, slots and shares depend on the own zone only.
+	near := slices.DeleteFunc(all, func(a model.Member) bool { return a.Zone != m.o.Self.Zone })
+	if !slices.EqualFunc(near, m.servers.near, func(a, b model.Member) bool { return a.ID == b.ID && a.Liveness == b.Liveness }) {
+		m.servers.near = near
+		m.refreshHomes()
+	}
 }
 
 func countZones(all []model.Member) int {
--- a/internal/control/notes.go
+++ b/internal/control/notes.go
@@ -25,9 +25,10 @@
 	pushRestarts = 3
 	// inlineNote is the largest note that an offer carries itself.
 	inlineNote = 2 << 10
-	// maxStored and maxStoredBytes bound the notes kept for peers.
+	// maxStored and maxStoredBytes bound the notes kept for peers. The newest
+	// one is kept whatever its size.
 	maxStored      = 256
-	maxStoredBytes = 2 << 20
+	maxStoredBytes = 512 << 10
 	// maxGap is the number of missing notes above which a complete
 	// configuration is read instead.
 	maxGap = 64
@@ -390,13 +391,13 @@
 // store keeps a note for peers that miss it.
 func (m *machine) store(v, base model.Version, raw Raw) {
 	n := &m.notes
-	if raw == nil || len(raw) > maxStoredBytes/2 {
+	if raw == nil {
 		return
 	}
 	n.stored[v] = stored{base, raw}
 	n.order = append(n.order, v)
 	n.storedBytes += len(raw)
-	for len(n.order) > maxStored || n.storedBytes > maxStoredBytes {
+	for len(n.order) > maxStored || n.storedBytes > maxStoredBytes && len(n.order) > 1 {
 		n.storedBytes -= len(n.stored[n.order[0]].raw)
 		delete(n.stored, n.order[0])
 		n.order = n.order[1:]
--- a/internal/control/servers.go
+++ b/internal/control/servers.go
@@ -36,6 +36,7 @@
 type serverState struct {
 	watcher bool
 	zones   int
+	near    []model.Member // live and leaving instances of the own zone
 	witness *claim.Witness
 	listed  []model.Member // of the platform's list, for witnesses
 	claims  map[model.ServerID]*claim.Holder
