--- a/internal/core/note/apply.go
+++ b/internal/core/note/apply.go
@@ -205,6 +205,7 @@
 	}
 	for i := range w.list {
 		if w.owned[i] {
+			w.list[i].Servers = slices.Clone(w.list[i].Servers) // without the spare room of append
 			slices.SortFunc(w.list[i].Servers, func(a, b model.Server) int {
 				return strings.Compare(string(a.ID), string(b.ID))
 			})
--- /dev/null
+++ b/internal/core/note/note_test.go
@@ -0,0 +1,129 @@
+package note
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/savorytiller/savorytiller/internal/core/model"
+)
+
+func service(id int) model.Service {
+	return model.Service{ID: model.ServiceID(id), Name: fmt.Sprintf("svc%d", id), Host: fmt.Sprintf("svc%d.local", id),
+		VirtualAddress: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 80, 0, byte(id)}), 4000)}
+}
+
+func testServer(i, svc, weight int) Server {
+	a := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 5000)
+	return Server{fmt.Sprintf("svc%d", svc), model.Server{ID: model.ServerID(fmt.Sprintf("s%d", i)), Zone: model.Zone(fmt.Sprintf("z%d", i%3)),
+		FlowAddress: a, RequestAddress: a, Weight: uint16(weight), Slots: 4, Connections: 2000}}
+}
+
+// draw returns a random note that may or may not apply.
+func draw(t *rapid.T, c *model.Configuration) *Note {
+	var in model.Version
+	if c != nil {
+		in = c.Version
+	}
+	n := &Note{Format: Format, Version: model.Version(rapid.IntRange(0, int(in)+3).Draw(t, "version")),
+		Base: model.Version(rapid.IntRange(0, int(in)+1).Draw(t, "base"))}
+	if rapid.Bool().Draw(t, "next") {
+		n.Version, n.Base = in+1, in
+	}
+	servers := func(label string) (out []Server) {
+		for range rapid.IntRange(0, 3).Draw(t, label) {
+			out = append(out, testServer(rapid.IntRange(1, 8).Draw(t, "server"), rapid.IntRange(1, 3).Draw(t, "of"),
+				rapid.IntRange(0, 1001).Draw(t, "weight")))
+		}
+		return out
+	}
+	for range rapid.IntRange(0, 2).Draw(t, "services") {
+		n.Added.Services = append(n.Added.Services, service(rapid.IntRange(1, 3).Draw(t, "service")))
+	}
+	n.Added.Servers, n.Changed.Servers = servers("added"), servers("changed")
+	for _, s := range servers("withdrawn") {
+		n.Withdrawn.Servers = append(n.Withdrawn.Servers, s.ID)
+	}
+	if rapid.IntRange(0, 3).Draw(t, "zone") == 0 {
+		n.Withdrawn.Zones = []model.Zone{"z1"}
+	}
+	return n
+}
+
+// Guards against a version that reverts whatever notes arrive in whatever
+// order, against a refused note that changes something, and against a digest
+// that depends on the way to a configuration, so that instances which took a
+// checkpoint would disagree with those that took every note.
+func TestNeverRevertsWhateverArrives(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var c *model.Configuration
+		for range rapid.IntRange(1, 30).Draw(t, "notes") {
+			var version model.Version
+			var digest uint64
+			if c != nil {
+				version, digest = c.Version, c.Digest
+			}
+			n := draw(t, c)
+			next, err := Apply(c, n)
+			if c != nil && (c.Version != version || Digest(c) != digest) {
+				t.Fatalf("applying a note changed the configuration in force")
+			}
+			if err != nil {
+				if _, ok := err.(*Refusal); !ok || next != nil {
+					t.Fatalf("error %v", err)
+				}
+				continue
+			}
+			if next.Version <= version || n.Base != 0 && n.Base != version {
+				t.Fatalf("version %d base %d replaced %d", n.Version, n.Base, version)
+			}
+			c = next
+			whole, err := Join(c.Version, Split(c, 2, 2))
+			if err != nil {
+				t.Fatal(err)
+			}
+			rebuilt, err := Apply(nil, whole)
+			if err != nil || rebuilt.Digest != c.Digest {
+				t.Fatalf("checkpoint of version %d gives another configuration: %v", c.Version, err)
+			}
+		}
+	})
+}
+
+// Guards against parts of different checkpoints that are joined.
+func TestJoinRefusesForeignParts(t *testing.T) {
+	part := func(v, base model.Version) *Note { return &Note{Format: Format, Version: v, Base: base} }
+	for _, parts := range [][]*Note{{part(7, 0), part(8, 0)}, {part(7, 6)}, {{Format: 2, Version: 7}},
+		{{Format: Format, Version: 7, Changed: Set{Servers: []Server{testServer(1, 1, 1)}}}}} {
+		_, err := Join(7, parts)
+		require.Error(t, err)
+	}
+}
+
+// Guards against an endpoint that is used for a new service while an outdated
+// view may still use it for the old one, also if it was free in between.
+func TestQuarantineOfMovedEndpoints(t *testing.T) {
+	first, err := Apply(nil, &Note{Format: Format, Version: 1, Added: Set{Services: []model.Service{service(1), service(2)},
+		Servers: []Server{testServer(1, 1, 10), testServer(2, 1, 10)}}})
+	require.NoError(t, err)
+	var q Quarantine
+	q.Track(nil, first, 0)
+	second, err := Apply(first, &Note{Format: Format, Version: 2, Base: 1, Withdrawn: Removal{Servers: []model.ServerID{"s1"}}})
+	require.NoError(t, err)
+	at := model.Time(time.Minute)
+	q.Track(first, second, at)
+	moved := testServer(1, 2, 10)
+	third, err := Apply(second, &Note{Format: Format, Version: 3, Base: 2, Added: Set{Servers: []Server{moved}}})
+	require.NoError(t, err)
+	q.Track(second, third, at.Add(time.Second))
+	require.Equal(t, at.Add(AddressQuarantine), q.Until(2, &moved.Server))
+	require.Zero(t, q.Until(1, &moved.Server), "the old service may have it back")
+	other := testServer(2, 1, 10)
+	require.Zero(t, q.Until(1, &other.Server))
+	q.Track(third, third, at.Add(AddressQuarantine))
+	require.Zero(t, q.Until(2, &moved.Server))
+}
