Keep cold servers at their home until slot holders may use their slots

Cause: after the start of a fleet the home instance of a cold server announced it as warm after about 23 successes, while the new holders of its slots still waited SlotTakeoverDelay (8 s). In between nobody used the server. Ruled out: the claim leases and the queue; a trial with a takeover delay of 1 ms had no dip. Change: a home keeps a server that carries its whole load until the delay after the zone's last membership change is over.

A test on simulated time fails without the change (server unused for over 2 s).

--- a/internal/control/machine.go
+++ b/internal/control/machine.go
@@ -337,6 +337,7 @@
 	near := slices.DeleteFunc(all, func(a model.Member) bool { return a.Zone != m.o.Self.Zone })
 	if !slices.EqualFunc(near, m.servers.near, func(a, b model.Member) bool { return a.ID == b.ID && a.Liveness == b.Liveness }) {
 		m.servers.near = near
+		m.health.KeepAlone(m.now.Add(m.o.SlotTakeoverDelay))
 		m.refreshHomes()
 	}
 }
--- a/internal/control/servers_test.go
+++ b/internal/control/servers_test.go
@@ -172,6 +172,28 @@
 	require.InDelta(t, 2000, connections, 3)
 }
 
+// Guards against servers that nobody uses after the start of a fleet: the home
+// instance announced them as warm while the holders of their slots still waited.
+func TestColdStartOfFleetKeepsServersInUse(t *testing.T) {
+	s := newSim(5)
+	s.publish(firstBody(4, "a"))
+	s.fleet(3, "a")
+	s.traffic(100*time.Millisecond, success)
+	lastUsed := map[model.ServerID]model.Time{}
+	for range 300 {
+		s.run(100 * time.Millisecond)
+		for id, u := range s.uses() {
+			if u.slots > 0 {
+				lastUsed[id] = s.now
+			}
+		}
+		for id, at := range lastUsed {
+			require.LessOrEqual(t, s.now.Sub(at), 2*health.Settle, "server %s is unused at %v", id, s.now.Sub(0))
+		}
+	}
+	require.Len(t, lastUsed, 4)
+}
+
 // Guards against full load on a server that turned cold without notice.
 func TestColdStartAfterUnannouncedCold(t *testing.T) {
 	s := newSim(4)
--- a/internal/core/health/health.go
+++ b/internal/core/health/health.go
@@ -108,6 +108,8 @@
 	changed   bool
 	hash      uint64
 	warm      bool
+	// aloneUntil is when the slot holders of the zone may use their slots.
+	aloneUntil model.Time
 }
 
 // New returns an empty table for the servers of a zone. With assumeWarm set,
@@ -198,6 +200,11 @@
 	t.changed = true
 }
 
+// KeepAlone makes the home instances keep their servers until the given time,
+// also those that carry their whole load. After a change of membership the new
+// holders of slots wait, so a server announced as warm would stay unused.
+func (t *Table) KeepAlone(until model.Time) { t.aloneUntil = max(t.aloneUntil, until) }
+
 // TakeChanged reports whether a standing changed since the last call.
 func (t *Table) TakeChanged() bool {
 	c := t.changed
@@ -314,7 +321,9 @@
 	s.progress = 0
 	t.changed = true
 	if s.whole() {
-		s.settle = now.Add(Settle)
+		if !now.Before(t.aloneUntil) {
+			s.settle = now.Add(Settle)
+		}
 		return
 	}
 	s.level++
