Sharpen the tests of permit, deadline, lease and window

Cause: mutations that drop the check of the view's lease, of the deadline before a retry, or shorten the window to a second survived. Change: the tests fail for each of them.

--- a/internal/core/request/engine_test.go
+++ b/internal/core/request/engine_test.go
@@ -114,6 +114,15 @@
 	f, ok := find[request.Finish](d.do(request.CallerGone{ID: retried}))
 	require.True(t, ok)
 	require.Equal(t, model.OutcomeUnknown, f.Outcome)
+
+	d = newDrive(request.Config{}, 1)
+	retried, actions = d.arrive("GET", "", 0, 0)
+	first, _ = find[request.Dispatch](actions)
+	d.after(time.Second)
+	d.renew()
+	f, ok = find[request.Finish](d.do(request.Dispatched{ID: retried, Serial: first.Serial, Result: request.Broken, Replayable: true}))
+	require.True(t, ok, "no retry after the deadline")
+	require.Equal(t, model.OutcomeUnknown, f.Outcome)
 }
 
 // Guards against a process that was paused and dispatches a request past its
@@ -152,10 +161,11 @@
 		if c.renew {
 			d.renew()
 		}
-		actions = d.do(request.AdmitReplied{ID: d.last, Admission: request.Admission{Epoch: 1, Permitted: true, Validity: 400 * time.Millisecond}})
+		validity := 400 * time.Millisecond
 		if !c.renew {
-			actions = d.do(request.AdmitReplied{ID: d.last, Admission: request.Admission{Permitted: true, Validity: time.Second}})
+			validity = 2 * time.Second
 		}
+		actions = d.do(request.AdmitReplied{ID: d.last, Admission: request.Admission{Epoch: 1, Permitted: true, Validity: validity}})
 		_, sent := find[request.Dispatch](actions)
 		require.Equal(t, c.reason == model.ReasonNone, sent, c.reason)
 	}
@@ -225,8 +235,11 @@
 	require.True(t, a.Permitted)
 	a, _ = d.admit("fourth", 1)
 	require.Equal(t, []any{model.OutcomeNotRun, model.ReasonOverloaded}, []any{a.Outcome, a.Reason}, "the memory is full")
-	d.after(request.DedupWindow)
+	d.after(request.DedupWindow - 1)
 	a, _ = d.admit("k", 5)
+	require.Equal(t, model.OutcomeCompleted, a.Outcome, "remembered to the end of the window")
+	d.after(request.DedupWindow)
+	a, _ = d.admit("k", 6)
 	require.False(t, a.Permitted, "a forgotten key is not safe to repeat")
 }
 
