--- a/internal/traffic/requests/http_test.go
+++ b/internal/traffic/requests/http_test.go
@@ -155,7 +155,7 @@
 		close(started)
 		<-r.Context().Done()
 		close(cancelled)
-	}), request.Config{})
+	}), request.Config{ResponseTimeout: time.Hour})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan got)
 	go func() { done <- b.send(ctx, 0, "GET", "/status", nil) }()
