--- a/internal/standin/load/operation.go
+++ b/internal/standin/load/operation.go
@@ -4,13 +4,13 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
+	"net/http/httptrace"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -140,14 +140,19 @@
 		request.Header.Set("Idempotency-Key", key)
 		request.Header.Set("Attempt", strconv.Itoa(number))
 	}
+	// net/http repeats a request without a body on its own when a connection
+	// breaks. If the second connection is refused, the error looks as if nothing
+	// had been sent, so the trace decides.
+	var connected atomic.Bool
+	request = request.WithContext(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}))
 	response, err := o.client.Do(request)
 	if err != nil {
-		var dial *net.OpError
 		a.reason = reasonConnection
 		if ctx.Err() != nil {
 			a.reason = "no answer in time"
 		}
-		return a, !(errors.As(err, &dial) && dial.Op == "dial")
+		return a, connected.Load()
 	}
 	defer response.Body.Close()
 	body, err := io.ReadAll(response.Body)
--- a/internal/standin/load/wire_test.go
+++ b/internal/standin/load/wire_test.go
@@ -1,6 +1,7 @@
 package load
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"fmt"
@@ -164,6 +165,36 @@
 	}
 }
 
+// Guards against a transmission that counts as never sent because net/http
+// repeated it on its own and found the instance gone: the run of the first one
+// was then taken for a false not-run (faults.sh dosenfalz, seed 2).
+func TestRepeatedTransmissionCountsAsSent(t *testing.T) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	o := answering(t, 0, answerWith(notRun, ""))
+	o.body = nil
+	target := listener.Addr().String()
+	go func() {
+		// Answers the first request, then dies while it holds the second one.
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		reader := bufio.NewReader(conn)
+		_, _ = http.ReadRequest(reader)
+		_, _ = fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+		_, _ = http.ReadRequest(reader)
+		_, _ = listener.Close(), conn.Close()
+	}()
+	_, sent := o.transmit(context.Background(), target, "", 1, time.Minute)
+	require.True(t, sent)
+	a, sent := o.transmit(context.Background(), target, "", 2, time.Minute)
+	require.True(t, sent)
+	require.Equal(t, unknown, a.outcome)
+	_, sent = o.transmit(context.Background(), target, "", 3, time.Minute)
+	require.False(t, sent, "a refused connection carries nothing")
+}
+
 // Guards against a truncated answer, or one to another request, that is taken for whole.
 func TestCallerChecksAnswers(t *testing.T) {
 	other := fmt.Sprintf(`{"digest":"0000000000000001","pad":%q}`, strings.Repeat("x", 256))
