--- a/internal/adapter/serverhealth/serverhealth.go
+++ b/internal/adapter/serverhealth/serverhealth.go
@@ -26,7 +26,13 @@
 // New returns a client. Connections are short-lived: a probe over a new
 // connection also notices a server whose old connections became silent.
 func New() *Client {
-	return &Client{&http.Client{Timeout: 2 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}}
+	return &Client{&http.Client{
+		Timeout:   2 * time.Second,
+		Transport: &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxAnswer},
+		CheckRedirect: func(*http.Request, []*http.Request) error {
+			return http.ErrUseLastResponse // another address says nothing about this server
+		},
+	}}
 }
 
 // Health implements port.ServerHealth. The error is port.ErrUnavailable if the
@@ -63,5 +69,5 @@
 	}
 	states := map[string]health.Endpoint{"cold": health.EndpointCold, "warm": health.EndpointWarm,
 		"draining": health.EndpointDraining}
-	return health.Report{State: states[in.State], Load: in.Load}, nil
+	return health.Report{State: states[in.State], Load: max(0, min(in.Load, 1))}, nil
 }
--- a/internal/adapter/healthhttp/healthhttp_test.go
+++ b/internal/adapter/serverhealth/serverhealth_test.go
@@ -1,4 +1,4 @@
-package healthhttp
+package serverhealth
 
 import (
 	"io"
@@ -22,16 +22,17 @@
 		name, body string
 		status     int
 		report     health.Report
-		fails      bool
+		fails      error
 	}{
-		{"warm", `{"state": "warm", "load": 0.25}`, 200, health.Report{State: health.EndpointWarm, Load: 0.25}, false},
-		{"cold", `{"state": "cold", "load": 0}`, 200, health.Report{State: health.EndpointCold}, false},
-		{"draining", `{"state": "draining", "load": 7}`, 200, health.Report{State: health.EndpointDraining, Load: 1}, false},
-		{"unknown state", `{"state": "fine", "load": -1}`, 200, health.Report{}, false},
-		{"error status", `{"state": "warm"}`, 500, health.Report{}, true},
-		{"redirect", ``, 302, health.Report{}, true},
-		{"not JSON", `warm`, 200, health.Report{}, true},
-		{"too long", `{"state": "` + strings.Repeat("x", 2*maxAnswer) + `"}`, 200, health.Report{}, true},
+		{"warm", `{"state": "warm", "load": 0.25}`, 200, health.Report{State: health.EndpointWarm, Load: 0.25}, nil},
+		{"cold", `{"state": "cold", "load": 0}`, 200, health.Report{State: health.EndpointCold}, nil},
+		{"draining", `{"state": "draining", "load": 7}`, 200, health.Report{State: health.EndpointDraining, Load: 1}, nil},
+		{"unknown state", `{"state": "fine", "load": -1}`, 200, health.Report{}, nil},
+		{"no endpoint", ``, 404, health.Report{}, port.ErrNotFound},
+		{"error status", `{"state": "warm"}`, 500, health.Report{}, port.ErrUnavailable},
+		{"redirect", ``, 302, health.Report{}, port.ErrUnavailable},
+		{"not JSON", `warm`, 200, health.Report{}, port.ErrUnavailable},
+		{"too long", `{"state": "` + strings.Repeat("x", 2*maxAnswer) + `"}`, 200, health.Report{}, port.ErrUnavailable},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -44,13 +45,11 @@
 			at := netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))
 			report, err := New().Health(t.Context(), model.Server{RequestAddress: at})
 			require.Equal(t, c.report, report)
-			if c.fails {
-				require.ErrorIs(t, err, port.ErrUnavailable)
-			} else {
-				require.NoError(t, err)
-			}
+			require.ErrorIs(t, err, c.fails)
 		})
 	}
-	_, err := New().Health(t.Context(), model.Server{RequestAddress: netip.MustParseAddrPort("127.0.0.1:1")})
+	_, err := New().Health(t.Context(), model.Server{})
+	require.ErrorIs(t, err, port.ErrNotFound)
+	_, err = New().Health(t.Context(), model.Server{RequestAddress: netip.MustParseAddrPort("127.0.0.1:1")})
 	require.ErrorIs(t, err, port.ErrUnavailable)
 }
--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -13,12 +13,12 @@
 	"github.com/savorytiller/savorytiller/internal/adapter/backendhttp"
 	"github.com/savorytiller/savorytiller/internal/adapter/clock"
 	"github.com/savorytiller/savorytiller/internal/adapter/geneve"
-	"github.com/savorytiller/savorytiller/internal/adapter/healthhttp"
 	"github.com/savorytiller/savorytiller/internal/adapter/httpfront"
 	"github.com/savorytiller/savorytiller/internal/adapter/logging"
 	"github.com/savorytiller/savorytiller/internal/adapter/metrics"
 	"github.com/savorytiller/savorytiller/internal/adapter/peerrpc"
 	"github.com/savorytiller/savorytiller/internal/adapter/platform"
+	"github.com/savorytiller/savorytiller/internal/adapter/serverhealth"
 	"github.com/savorytiller/savorytiller/internal/adapter/settings"
 	"github.com/savorytiller/savorytiller/internal/control"
 	"github.com/savorytiller/savorytiller/internal/core/model"
@@ -118,7 +118,7 @@
 		Instances: client,
 		Codec:     platform.Codec{},
 		Peers:     i.peers,
-		Health:    healthhttp.New(),
+		Health:    serverhealth.New(),
 		Recorder:  i.recorder,
 		Log:       i.logs.Part("control"),
 		Seed:      i.seed(),
