--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -13,12 +13,12 @@
 	"github.com/savorytiller/savorytiller/internal/adapter/backendhttp"
 	"github.com/savorytiller/savorytiller/internal/adapter/clock"
 	"github.com/savorytiller/savorytiller/internal/adapter/geneve"
-	"github.com/savorytiller/savorytiller/internal/adapter/healthhttp"
 	"github.com/savorytiller/savorytiller/internal/adapter/httpfront"
 	"github.com/savorytiller/savorytiller/internal/adapter/logging"
 	"github.com/savorytiller/savorytiller/internal/adapter/metrics"
 	"github.com/savorytiller/savorytiller/internal/adapter/peerrpc"
 	"github.com/savorytiller/savorytiller/internal/adapter/platform"
+	"github.com/savorytiller/savorytiller/internal/adapter/serverhealth"
 	"github.com/savorytiller/savorytiller/internal/adapter/settings"
 	"github.com/savorytiller/savorytiller/internal/control"
 	"github.com/savorytiller/savorytiller/internal/core/model"
@@ -29,8 +29,13 @@
 	"github.com/savorytiller/savorytiller/internal/traffic/requests"
 )
 
-// ErrStart means that a part could not be created.
-var ErrStart = merry.Sentinel("cannot start")
+// Errors of this package.
+var (
+	// ErrStart means that a part could not be created.
+	ErrStart = merry.Sentinel("cannot start")
+	// ErrNoMember means that an instance is not in the view.
+	ErrNoMember = merry.Sentinel("not a member")
+)
 
 // Instance is an entry instance with its open sockets and its parts.
 type Instance struct {
@@ -113,7 +118,7 @@
 		Instances: client,
 		Codec:     platform.Codec{},
 		Peers:     i.peers,
-		Health:    healthhttp.New(),
+		Health:    serverhealth.New(),
 		Recorder:  i.recorder,
 		Log:       i.logs.Part("control"),
 		Seed:      i.seed(),
@@ -178,6 +183,7 @@
 }
 
 func (i *Instance) newOperators() error {
+	i.peers.Handle(methodExplain, i.handleExplain)
 	i.operators = admin.Source{
 		Clock:     i.clock,
 		Views:     i.control,
--- a/internal/core/request/slots.go
+++ b/internal/core/request/slots.go
@@ -4,7 +4,6 @@
 	"slices"
 
 	"github.com/savorytiller/savorytiller/internal/core/model"
-	"github.com/savorytiller/savorytiller/internal/core/placement"
 	"github.com/savorytiller/savorytiller/internal/core/view"
 )
 
@@ -12,8 +11,8 @@
 type queue struct {
 	waiting map[string][]*pending // by class, oldest first
 	size    int
-	// admitting counts the requests that ask the owner of their key.
-	admitting int
+	// admitting counts the requests that ask the owner of their key, by class.
+	admitting map[string]int
 	// acquires counts the questions for slots that are under way.
 	acquires int
 	// refused says until when an instance is not asked again.
@@ -26,24 +25,22 @@
 	ownersOf *view.View
 }
 
-// candidate is an instance with the hash that rendezvous hashing uses.
-type candidate struct {
-	member *model.Member
-	seed   uint64
-}
-
 type holder struct {
 	member *model.Member
 	slots  int
 	near   bool
 }
 
-func (q *queue) length() int { return q.size + q.admitting }
+// full reports whether no further request of a class may wait. The limit
+// applies to each class, so that one class cannot fill the queue of another.
+func (q *queue) full(class string, limit int) bool {
+	return len(q.waiting[class])+q.admitting[class] >= limit
+}
 
 func (e *Engine) queue(service model.ServiceID) *queue {
 	q := e.queues[service]
 	if q == nil {
-		q = &queue{waiting: map[string][]*pending{}, refused: map[model.InstanceID]model.Time{}}
+		q = &queue{waiting: map[string][]*pending{}, admitting: map[string]int{}, refused: map[model.InstanceID]model.Time{}}
 		e.queues[service] = q
 	}
 	return q
@@ -56,7 +53,7 @@
 		e.dispatch(p)
 		return
 	}
-	if q.length() >= e.cfg.QueueLength {
+	if q.full(p.kind.Class, e.cfg.QueueLength) {
 		e.noSlot(p)
 		return
 	}
@@ -135,10 +132,6 @@
 	if p.tries > 0 {
 		reason = p.lastReason
 	}
-	if p.maybeRan {
-		e.finish(p, model.OutcomeUnknown, reason, nil)
-		return
-	}
 	e.refuse(p, reason)
 }
 
@@ -329,70 +322,3 @@
 	e.pool.Free(e.now, l.holding)
 	e.serveQueue(l.holding.Service)
 }
-
-func (e *Engine) peerAdmit(ev PeerAdmit) {
-	wait := park(ev.Msg.Deadline)
-	w := waiter{call: ev.Call}
-	reply, ok := e.dedup.admit(e.now, w, ev.Msg, wait)
-	if ok {
-		e.emit(ReplyAdmit{Call: ev.Call, Msg: reply})
-		return
-	}
-	e.startTimer(timer{at: e.now.Add(wait), kind: timerParked, key: dedupKey{ev.Msg.Service, ev.Msg.Key}})
-}
-
-func (e *Engine) answerParked(list []admission) {
-	for _, a := range list {
-		if a.to.call != 0 {
-			e.emit(ReplyAdmit{Call: a.to.call, Msg: a.reply})
-			continue
-		}
-		if p := e.reqs[a.to.local]; p != nil && p.phase == phaseAdmit {
-			e.admitted(p, a.reply)
-		}
-	}
-}
-
-// owner returns the instance that owns a key: by rendezvous hashing over the
-// live instances in the zones of the service, or over all live instances if
-// those zones have none.
-func (e *Engine) owner(svc *model.Service, key string) *model.Member {
-	q := e.queue(svc.ID)
-	if q.ownersOf != e.view {
-		q.owners, q.ownersOf = candidates(e.view, svc), e.view
-	}
-	hash := placement.Mix(uint64(svc.ID), placement.HashString(key))
-	var best *model.Member
-	bestScore := uint64(0)
-	for _, c := range q.owners {
-		if score := placement.Mix(hash, c.seed); best == nil || score > bestScore {
-			best, bestScore = c.member, score
-		}
-	}
-	return best
-}
-
-func candidates(v *view.View, svc *model.Service) []candidate {
-	zones := map[model.Zone]bool{}
-	for i := range svc.Servers {
-		if z := svc.Servers[i].Zone; !v.Config.Withdrawn(z) {
-			zones[z] = true
-		}
-	}
-	var in, all []candidate
-	for i := range v.Members.All() {
-		m := &v.Members.All()[i]
-		if m.Liveness != model.Live {
-			continue
-		}
-		c := candidate{m, placement.HashString(string(m.ID))}
-		all = append(all, c)
-		if zones[m.Zone] {
-			in = append(in, c)
-		}
-	}
-	if len(in) > 0 {
-		return in
-	}
-	return all
-}
