--- a/internal/core/flow/records.go
+++ b/internal/core/flow/records.go
@@ -12,10 +12,8 @@
 type role uint8
 
 const (
-	// roleNone marks a free slot.
-	roleNone role = iota
-	// roleOwn is a flow that this instance decides about.
-	roleOwn
+	// roleOwn is a flow that this instance decides about. A free slot has role 0.
+	roleOwn role = iota + 1
 	// roleHint is a flow of another owner that may be sent directly for a while.
 	roleHint
 	// roleCopy is a flow of another owner, kept for lookups and for the case
@@ -64,8 +62,6 @@
 	extra uint32
 }
 
-const recordSize = unsafe.Sizeof(record{})
-
 func (r *record) role() role               { return role(r.word & roleMask >> roleShift) }
 func (r *record) setRole(x role)           { r.word = r.word&^roleMask | uint32(x)<<roleShift }
 func (r *record) service() model.ServiceID { return model.ServiceID(r.word & serviceMask) }
