Ask the home of a server in another zone for a slot

Cause: while all servers of another zone are cold, only their homes can lend, but the view does not show it and only slot holders were asked. Change: the home is a candidate beside the holders.

--- a/internal/core/request/slots.go
+++ b/internal/core/request/slots.go
@@ -208,8 +208,11 @@
 		if s == nil || s.State != model.ServerActive || s.Warmth == view.Failed {
 			continue
 		}
-		if s.Warmth == view.Cold {
+		if s.Warmth == view.Cold || s.Zone != v.Self.Zone {
+			// The view does not say whether a server of another zone is cold.
 			add(v.Members.Home(s.ID, s.Zone))
+		}
+		if s.Warmth == view.Cold {
 			continue
 		}
 		for slot := range int(s.Server.Slots) {
