--- a/internal/adapter/peerrpc/peerrpc_test.go
+++ b/internal/adapter/peerrpc/peerrpc_test.go
@@ -20,7 +20,7 @@
 
 func secret(c string) []byte { return []byte(strings.Repeat(c, MinSecret)) }
 
-func newNode(t *testing.T, id string, change func(*Options)) *Node {
+func newNode(t testing.TB, id string, change func(*Options)) *Node {
 	t.Helper()
 	o := Options{Self: Identity{model.InstanceID(id), 1}, Keys: []Key{{1, secret("a")}}}
 	if change != nil {
@@ -43,7 +43,7 @@
 }
 
 // serve starts a node on a free port and returns it as a member.
-func serve(t *testing.T, n *Node) model.Member {
+func serve(t testing.TB, n *Node) model.Member {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
