--- a/internal/adapter/metrics/metrics_test.go
+++ b/internal/adapter/metrics/metrics_test.go
@@ -12,19 +12,25 @@
 	"github.com/savorytiller/savorytiller/internal/port"
 )
 
-// Guards against a list of decisions that grows with traffic, and against one
-// that loses the order or the newest entries when it wraps.
+// Guards against a list of decisions that grows with traffic, against one that
+// loses the order or the newest entries when it wraps, and against a busy part
+// that pushes out the decisions of another.
 func TestDecisionsAreBoundedAndInOrder(t *testing.T) {
 	r := New(4)
 	require.Empty(t, r.Decisions())
 	for i := range 11 {
-		r.Decision(port.Decision{At: model.Time(i)})
+		r.Decision(port.Decision{At: model.Time(i), Part: "request", Reason: model.ReasonOverloaded})
+		r.Decision(port.Decision{At: 1000, Part: "request"})
 		got := r.Decisions()
 		require.Len(t, got, min(i+1, 4))
 		for j, d := range got {
 			require.Equal(t, model.Time(i-len(got)+1+j), d.At)
 		}
 	}
+	r.Decision(port.Decision{At: 5, Part: "control", Reason: model.ReasonNoteApplied})
+	got := r.Decisions()
+	require.Len(t, got, 5)
+	require.Equal(t, "control", got[0].Part, "decisions are in order of time")
 }
 
 // Guards against two parts or reasons that share a counter, and against lost
@@ -76,3 +82,19 @@
 	require.LessOrEqual(t, len(all), 2*maxHistograms+1)
 	require.EqualValues(t, 4*maxHistograms, total, "a value of a tenant past the limit is counted elsewhere, not lost")
 }
+
+// Guards against a counter that allocates, since each packet is counted.
+func TestCountAllocatesNothing(t *testing.T) {
+	r := New(1)
+	part := fmt.Sprint("fl", "ow")
+	require.Zero(t, testing.AllocsPerRun(100, func() { r.Count(part, model.ReasonKnownFlow) }))
+}
+
+func BenchmarkCount(b *testing.B) {
+	r := New(1)
+	part := fmt.Sprint("fl", "ow")
+	b.ReportAllocs()
+	for b.Loop() {
+		r.Count(part, model.ReasonKnownFlow)
+	}
+}
--- a/internal/core/flow/changes_test.go
+++ b/internal/core/flow/changes_test.go
@@ -90,17 +90,19 @@
 	},
 	"zone out": func(f *fleet) {
 		zone := sortedZones(fourZones)[f.rng.IntN(4)]
-		if len(f.config.WithdrawnZones) > 0 {
-			return
+		if len(f.config.WithdrawnZones) > 0 || f.now.Sub(f.zoneChanged) <= f.lag {
+			return // operators wait until a change is in force
 		}
+		f.zoneChanged = f.now
 		f.excuse(func(s model.Server) bool { return s.Zone == zone })
 		f.withdrawn[zone] = f.now
 		f.change(func(c *model.Configuration) { c.WithdrawnZones = []model.Zone{zone} })
 	},
 	"zone back": func(f *fleet) {
-		if len(f.config.WithdrawnZones) == 0 {
+		if len(f.config.WithdrawnZones) == 0 || f.now.Sub(f.zoneChanged) <= f.lag {
 			return
 		}
+		f.zoneChanged = f.now
 		clear(f.withdrawn)
 		f.change(func(c *model.Configuration) { c.WithdrawnZones = nil })
 	},
@@ -119,7 +121,9 @@
 		return nil
 	}
 	m.Liveness = model.Leaving
-	f.engines[m.FlowAddress].gone = f.now.Add(drainPeriod)
+	e := f.engines[m.FlowAddress]
+	e.gone = f.now.Add(drainPeriod)
+	e.apply(f, update{f.now, f.round, nil, slices.Clone(f.members)}) // it knows at once
 	return m
 }
 
--- a/internal/core/request/dispatch.go
+++ b/internal/core/request/dispatch.go
@@ -40,17 +40,10 @@
 	if e.retry(p, ev, server) {
 		return
 	}
-	reason := model.ReasonServerFailed
-	if ev.Result == ShedByServer {
-		reason = model.ReasonShed
-	}
+	reason := reasonOf(ev)
 	if late := e.lateReason(p); late != model.ReasonNone {
 		reason = late
 	}
-	if p.maybeRan {
-		e.finish(p, model.OutcomeUnknown, reason, nil)
-		return
-	}
 	e.refuse(p, reason)
 }
 
@@ -67,11 +60,14 @@
 		e.emit(Note{Reason: model.ReasonRetryBudget, Subject: p.service.Name})
 		return false
 	}
-	if ev.Result != Silent {
-		// A silent connection says little about its server; any other failure
-		// makes another server the better choice.
+	switch ev.Result {
+	case NotSent, ShedByServer:
 		p.failed = append(p.failed, failed)
+	case Silent: // a silent connection says little about its server
+	default:
+		p.avoid = append(p.avoid, failed)
 	}
+	p.lastReason = reasonOf(ev)
 	e.wantSlot(p)
 	return true
 }
@@ -86,7 +82,7 @@
 	case ShedByServer:
 		return Shed, true
 	case Silent:
-		return Timeout, true
+		return Timeout, ev.Latency >= minTimeoutObserved
 	case Cancelled:
 		return Timeout, ev.Latency >= minTimeoutObserved && ev.DeadlinePassed
 	case BodyFailed:
@@ -100,6 +96,8 @@
 
 func reasonOf(ev Dispatched) model.Reason {
 	switch ev.Result {
+	case ShedByServer:
+		return model.ReasonShed
 	case Silent:
 		return model.ReasonServerSilent
 	case Truncated:
--- a/internal/traffic/requests/serve.go
+++ b/internal/traffic/requests/serve.go
@@ -135,6 +135,9 @@
 
 // readBody reads the start of the body and computes the content digest.
 func (h *handler) readBody(a request.ReadBody) request.Event {
+	if limit := h.req.LimitBody; limit != nil && h.req.Incoming.Length != 0 {
+		limit(a.Deadline.Sub(h.w.o.Clock.Now()))
+	}
 	h.body = callerBody{source: h.req.Body, max: a.MaxBody, length: h.req.Incoming.Length}
 	if err := h.body.buffer(); err != nil {
 		reason := model.ReasonBadRequest
@@ -199,6 +202,10 @@
 	ev.Replayable = !streamed
 	ev.Forwarded = h.forwarded
 	ev.Latency = h.w.o.Clock.Now().Sub(now)
+	if ev.Result == request.NotSent && ctx.Err() != nil {
+		// The caller's end, not the server's: nothing to retry or to observe.
+		ev.TooLate, ev.Replayable = true, false
+	}
 	if ev.Result != request.Answered && ev.Result != request.NotSent && ev.Result != request.ShedByServer {
 		switch {
 		case ctx.Err() != nil:
