--- a/internal/standin/load/feed.go
+++ b/internal/standin/load/feed.go
@@ -43,6 +43,9 @@
 	opened     time.Time
 	ended      time.Time
 	messages   int
+	// opens is the number of SYNs sent; other is the server that a feed moved to.
+	opens int
+	other string
 	longestGap time.Duration
 	// conn is closed by the ledger at the end of the run.
 	conn *net.UDPConn
@@ -112,6 +115,7 @@
 
 func (f *feed) open() bool {
 	for start := time.Now(); time.Since(start) < openTimeout; {
+		f.result.opens++
 		f.send(wire.Segment{SYN: true, Seq: f.isn})
 		if s := f.receive(resend); s != nil && s.SYN && s.ACK && s.Ack == f.isn+1 {
 			f.result.server = string(s.Payload)
@@ -139,6 +143,7 @@
 		case len(s.Payload) > 4:
 			n, server := binary.BigEndian.Uint32(s.Payload), string(s.Payload[4:])
 			if server != f.result.server {
+				f.result.other = server
 				return feedMoved
 			}
 			if n > f.received+1 {
--- a/internal/standin/load/judge.go
+++ b/internal/standin/load/judge.go
@@ -62,8 +62,8 @@
 			continue
 		}
 		r.Feeds.Broken[string(f.end)]++
-		r.violate(PromisePlannedChange, "feed of %s at %s: %s at %.1f s, opened at %.1f s, after %d messages", f.service, f.server, f.end,
-			f.ended.Sub(r.start).Seconds(), f.opened.Sub(r.start).Seconds(), f.messages)
+		r.violate(PromisePlannedChange, "feed of %s at %s: %s %s at %.1f s, opened at %.1f s with %d SYNs, after %d messages",
+			f.service, f.server, f.end, f.other, f.ended.Sub(r.start).Seconds(), f.opened.Sub(r.start).Seconds(), f.opens, f.messages)
 	}
 }
 
