--- a/internal/standin/load/feed.go
+++ b/internal/standin/load/feed.go
@@ -35,17 +35,17 @@
 
 // feedResult is what the ledger learns about a feed.
 type feedResult struct {
-	service    string
-	source     string
-	server     string
-	short      bool
-	end        feedEnd
-	opened     time.Time
-	ended      time.Time
-	messages   int
+	service  string
+	source   string
+	server   string
+	short    bool
+	end      feedEnd
+	opened   time.Time
+	ended    time.Time
+	messages int
 	// opens is the number of SYNs sent; other is the server that a feed moved to.
-	opens int
-	other string
+	opens      int
+	other      string
 	longestGap time.Duration
 	// conn is closed by the ledger at the end of the run.
 	conn *net.UDPConn
