--- a/internal/app/app_test.go
+++ b/internal/app/app_test.go
@@ -251,6 +251,13 @@
 		}
 	}
 
+	// Control renews its state for operators every half second only.
+	require.Eventually(t, func() bool {
+		var m admin.Metrics
+		return instances[0].get(t, "/metrics", &m) == http.StatusOK && m.Gauges["control.notes_applied"] == 1 &&
+			m.Gauges["process.memory_bytes"] > 0
+	}, limit, 10*time.Millisecond)
+
 	server := arrivalOf(t, instances[0], backends, "before")
 	instances[2].leave()
 	require.NoError(t, <-instances[2].ended)
--- a/internal/app/gauges.go
+++ b/internal/app/gauges.go
@@ -28,6 +28,16 @@
 		"peer.silent_connections": int64(p.SilentConnections),
 		"process.goroutines":      int64(runtime.NumGoroutine()),
 	}}
+	if s := i.control.Status(); s != nil {
+		c := s.Counts
+		for name, count := range map[string]uint64{
+			"control.notes_applied": c.Applied, "control.notes_refused": c.Refused, "control.note_conflicts": c.Conflicts,
+			"control.reads": c.Reads, "control.watches": c.Watches, "control.lists": c.Lists, "control.calls": c.Calls,
+			"control.pauses": c.Pauses, "control.dead_peers": c.Dead,
+		} {
+			out.Gauges[name] = int64(count)
+		}
+	}
 	sample := []metrics.Sample{{Name: memoryMetric}}
 	metrics.Read(sample)
 	if sample[0].Value.Kind() == metrics.KindUint64 {
