Report refusals of a first attempt also with an outdated view and at shutdown

Change: the service and the headers are checked first; refusals after that are reported. A report to another instance than the present owner is safe, since only one instance ever hears of attempt 1.

--- a/internal/core/request/admission.go
+++ b/internal/core/request/admission.go
@@ -103,7 +103,9 @@
 		return
 	}
 	to := p.owner
-	if to == nil && e.view.Fresh(e.now) {
+	if to == nil {
+		// An outdated view may name another instance than the present owner;
+		// the next attempt finds it as one of the candidates, or not at all.
 		to = e.owner(p.service, p.key, 1, 0)
 	}
 	if to == nil {
--- a/internal/core/request/lifecycle.go
+++ b/internal/core/request/lifecycle.go
@@ -85,13 +85,8 @@
 // check fills in what the configuration says about the request and returns why
 // it is refused, or ReasonNone.
 func (e *Engine) check(p *pending, in Incoming) model.Reason {
-	switch {
-	case !e.view.Ready():
+	if !e.view.Ready() {
 		return model.ReasonNoConfiguration
-	case !e.view.Fresh(e.now):
-		return model.ReasonStaleView
-	case e.refusesNew():
-		return model.ReasonShuttingDown
 	}
 	p.service = e.view.Config.ServiceByHost(in.Host)
 	if p.service == nil {
@@ -108,7 +103,13 @@
 			return model.ReasonBadAttempt
 		}
 	}
-	if in.Length > p.service.MaxBody {
+	// From here on, a refusal can be reported to the owner of the key.
+	switch {
+	case !e.view.Fresh(e.now):
+		return model.ReasonStaleView
+	case e.refusesNew():
+		return model.ReasonShuttingDown
+	case in.Length > p.service.MaxBody:
 		return model.ReasonTooLarge
 	}
 	if reason := e.pool.Unavailable(p.service.ID); reason != model.ReasonNone {
