Read the instance list at 1 KB/s an instance and keep all updates of a healing fleet

Cause: at 2,600 instances the list has 442 KB, so a read every 13 s took 34 KB/s, over the 18 KB/s for all of control; the queue of 512 updates lost contradictions when a region came back. Change: an instance reads 1 KB/s of the list at any size, and at once when a witness has another list; the queue holds 4,096 updates.

--- a/internal/control/machine.go
+++ b/internal/control/machine.go
@@ -273,8 +273,9 @@
 	m.pollHealth()
 }
 
-// list reads the platform's instance list. Its period grows with the fleet,
-// so that all instances together make at most listBudget reads a second.
+// list reads the platform's instance list, whose size and readers grow with
+// the fleet. New instances announce themselves, and probes find dead ones, so
+// a list that is minutes old does no harm.
 func (m *machine) list() {
 	if m.listing || m.now.Before(m.listAt) {
 		m.wakeUnless(m.listing, m.listAt)
@@ -291,16 +292,29 @@
 	}
 }
 
+// Periods of reading the list. Each entry has about 170 bytes; with listPerEntry
+// an instance reads 1 KB/s of it at any size, and all instances together make
+// at most 6 reads a second.
 const (
-	listBudget = 200
-	listEvery  = 2 * time.Second
+	listEvery    = 2 * time.Second
+	listPerEntry = 170 * time.Millisecond
+	// listSoon is the shortest time between two reads in a large fleet when
+	// another instance is found to have a different list.
+	listSoon = 20 * time.Second
 )
 
+// listDiffers reads the list soon, because a witness and a holder have
+// different ones.
+func (m *machine) listDiffers() {
+	m.listAt = min(m.listAt, max(m.now, m.listAge.Add(listSoon)).Add(time.Duration(m.rng.Int64N(int64(listEvery)))))
+}
+
 func (m *machine) handleInstances(e evInstances) {
 	m.listing = false
-	period := max(listEvery, time.Duration(float64(m.members.Len())/listBudget*float64(time.Second)))
+	period := max(listEvery, time.Duration(m.members.Len())*listPerEntry)
 	m.listAt = m.now.Add(period/2 + time.Duration(m.rng.Int64N(int64(period))))
 	if e.err != nil {
+		m.listAt = min(m.listAt, m.now.Add(listSoon/2+time.Duration(m.rng.Int64N(int64(listSoon)))))
 		return
 	}
 	first := !m.listed
--- a/internal/control/messages.go
+++ b/internal/control/messages.go
@@ -118,4 +118,6 @@
 
 type claimAnswer struct {
 	Granted []bool `json:"g"`
+	// Differs is set if the witness has another instance list.
+	Differs bool `json:"d,omitempty"`
 }
--- a/internal/control/servers.go
+++ b/internal/control/servers.go
@@ -252,6 +252,9 @@
 func (m *machine) askWitness(w model.InstanceID, params *claimRequest) {
 	asked := m.now
 	granted := func(answer *claimAnswer) {
+		if answer.Differs {
+			m.listDiffers()
+		}
 		for i, item := range params.Servers {
 			h, ok := m.servers.claims[item.Server]
 			if ok && i < len(answer.Granted) && answer.Granted[i] && h.Hash() == item.Witnesses {
@@ -290,6 +293,8 @@
 	for i, item := range p.Servers {
 		witnesses := claim.Witnesses(item.Server, item.Zone, m.servers.listed)
 		if claim.Hash(witnesses) != item.Witnesses || !slices.Contains(witnesses, m.o.Self.ID) {
+			answer.Differs = true
+			m.listDiffers()
 			continue
 		}
 		if _, ok := complete[item.Zone]; !ok {
--- a/internal/core/member/member.go
+++ b/internal/core/member/member.go
@@ -47,10 +47,10 @@
 
 // Bounds of the updates that are passed on.
 const (
-	MaxUpdates  = 16  // updates in one message
-	maxQueue    = 512 // updates waiting to be passed on
-	verifiers   = 8   // instances of the fleet that probe a newly suspected member
-	doubtWindow = 8   // recent probes within the zone that decide about doubt
+	MaxUpdates  = 16   // updates in one message
+	maxQueue    = 4096 // updates waiting to be passed on; more than a fleet that heals
+	verifiers   = 8    // instances of the fleet that probe a newly suspected member
+	doubtWindow = 8    // recent probes within the zone that decide about doubt
 )
 
 // Update is what one instance tells another about a member.
