--- a/internal/control/cost_test.go
+++ b/internal/control/cost_test.go
@@ -331,3 +331,46 @@
 		}
 	}
 }
+
+// BenchmarkRegionHeals measures on a simulated fleet how long all instances need
+// to agree on the membership after a sixth of them was cut off for a minute and
+// returned: cut-s until both sides know it, heal-s until all agree again.
+// Command: go test ./internal/control -run xxx -bench RegionHeals -benchtime 1x
+func BenchmarkRegionHeals(b *testing.B) {
+	for _, n := range []int{12, 48, 192, 768} {
+		b.Run(fmt.Sprintf("members=%d", n), func(b *testing.B) {
+			for range b.N {
+				s := newSim(2)
+				s.publish(firstBody(2, "z00", "z01"))
+				region := map[model.InstanceID]bool{}
+				for i := range n {
+					z := fmt.Sprintf("z%02d", i%min(18, n/4))
+					region[s.add(fmt.Sprintf("%s-%04d", z, i), z).self.ID] = i%6 == 0
+				}
+				s.run(20 * time.Second)
+				agree := func(inside, outside int) float64 {
+					for second := range 300 {
+						ok := true
+						for id, node := range s.nodes {
+							expected := outside
+							if region[id] {
+								expected = inside
+							}
+							ok = ok && len(node.view.Members.All()) == expected
+						}
+						if ok {
+							return float64(second)
+						}
+						s.run(time.Second)
+					}
+					return 300
+				}
+				s.cut = func(a, c model.InstanceID) bool { return region[a] != region[c] }
+				b.ReportMetric(agree((n+5)/6, n-(n+5)/6), "cut-s")
+				s.run(time.Minute)
+				s.cut = nil
+				b.ReportMetric(agree(n, n), "heal-s")
+			}
+		})
+	}
+}
