--- a/scripts/faults.sh
+++ b/scripts/faults.sh
@@ -17,10 +17,10 @@
 server_command() { call POST "http://$backend/command?server=$1&do=$2"; }
 mode() { call POST "http://$platform/standin/mode?mode=$1"; }
 
-# Choose a random instance or server of the long-feed service; without a command
-# substitution, which would draw from a copy of the generator.
+# Choose a random instance or server of the long-feed service. RANDOM must not be
+# read in a command substitution: bash seeds it anew there.
 some_instance() { chosen=${instances[$((RANDOM % ${#instances[@]}))]}; }
-some_server() { chosen=$(printf '%s-%02d' "$prefix" $((RANDOM % 15 + 1))); }
+some_server() { printf -v chosen '%s-%02d' "$prefix" $((RANDOM % 15 + 1)); }
 
 kill_instance() {
   some_instance
