--- a/internal/standin/load/judge.go
+++ b/internal/standin/load/judge.go
@@ -47,6 +47,8 @@
 		r.Feeds.Messages += f.messages
 		if f.end == feedRefused {
 			r.Feeds.Refused++
+			second := int(f.opened.Sub(r.start).Seconds())
+			r.RefusedFrom[second]++
 			continue
 		}
 		r.Feeds.Opened++
@@ -198,6 +200,10 @@
 			r.violate(PromiseService, "%s: only %.1f %% of %d operations completed", name, 100*share, c.Started)
 		}
 	}
+	feeds := r.Feeds.Opened + r.Feeds.Refused
+	if share := float64(r.Feeds.Opened) / float64(max(1, feeds)); feeds > 0 && share < r.minService {
+		r.violate(PromiseService, "only %.1f %% of %d feeds could be opened", 100*share, feeds)
+	}
 	wanted := 0
 	for i := range d.Services {
 		wanted += d.Services[i].Feeds
--- a/internal/standin/load/judge_test.go
+++ b/internal/standin/load/judge_test.go
@@ -112,4 +112,10 @@
 		return l
 	}(), nil)
 	require.NotZero(t, r.Promises[PromiseService].Count)
+	r = judge(Options{MinService: 0.9}, &deployment.Deployment{}, func() *ledger {
+		l := newLedger(began)
+		l.add(feedResult{end: feedRefused, opened: at(0)})
+		return l
+	}(), nil)
+	require.NotZero(t, r.Promises[PromiseService].Count)
 }
--- a/internal/standin/load/report.go
+++ b/internal/standin/load/report.go
@@ -88,6 +88,9 @@
 	Classes    map[string]*Class     `json:"classes"`
 	Servers    Servers               `json:"servers"`
 	Imbalance  map[string]float64    `json:"imbalance"`
+	// RefusedFrom counts the feeds that could not be opened, by the second in
+	// which the caller began to try.
+	RefusedFrom map[int]int `json:"refused_from_second"`
 	// Service is the share of operations answered in time, by second of their start.
 	Service map[string][]float64 `json:"service_per_second"`
 
@@ -97,7 +100,7 @@
 
 func newReport(options Options, l *ledger) *Report {
 	r := &Report{Deployment: options.Deployment, Seed: options.Seed, Seconds: options.Duration.Seconds(),
-		Promises: map[string]Violations{}, Classes: map[string]*Class{}, Service: map[string][]float64{},
+		Promises: map[string]Violations{}, Classes: map[string]*Class{}, Service: map[string][]float64{}, RefusedFrom: map[int]int{},
 		Feeds: Feeds{Broken: map[string]int{}}, start: l.start, minService: options.MinService}
 	for name, seconds := range l.seconds {
 		for _, s := range seconds {
@@ -149,6 +152,9 @@
 	fmt.Fprintf(w, "%s, seed %d, %.0f s\n", r.Deployment, r.Seed, r.Seconds)
 	fmt.Fprintf(w, "  feeds: %d opened (%d long), %d refused, %d messages, %d ended with their server or zone, broken %v, longest gap %d ms\n",
 		r.Feeds.Opened, r.Feeds.Long, r.Feeds.Refused, r.Feeds.Messages, r.Feeds.Excused, r.Feeds.Broken, r.Feeds.LongestGapMs)
+	if r.Feeds.Refused > 0 {
+		fmt.Fprintf(w, "  feeds refused, by second of the first SYN: %v\n", r.RefusedFrom)
+	}
 	for _, name := range sortedKeys(r.Classes) {
 		c := r.Classes[name]
 		fmt.Fprintf(w, "  %s: %d started, %d completed (%d in time), %d not run, %d unknown (%d ran), %d transmissions, p50 %.1f p99 %.1f max %.1f ms\n",
