--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -232,12 +232,23 @@
 
 gauge() { sed -n "s/.*\"$1\":\([0-9]*\).*/\1/p" <<<"$metrics"; }
 
+# save_state keeps what the instances show their operators, for a failed run.
+save_state() {
+  local id page
+  for id in "${instances[@]}"; do
+    for page in status metrics explain; do
+      call GET "http://$(field "$work/$id.addresses" operators)/$page" >"$work/$id.$page.json" 2>&1 || true
+    done
+  done
+}
+
 # finish_load prints the summary and returns the exit status of the load tool.
 finish_load() {
   local status=0
   wait "${pids[load]}" || status=$?
   unset "pids[load]"
   cat "$work/load.log"
+  if [ "$status" != 0 ]; then save_state; fi
   costs
   echo "  configuration service: $(call GET "http://$platform/standin/stats")"
   return "$status"
