Place flows on cold servers through their home instance

Cause: while a server is cold for flows, only its home may open flows on it. An owner that was not the home took another server or, in a zone without one, dropped the flow with no_capacity: in a test with one server and 3 instances 13 of 31 flows were placed. The home did not see successes of other owners' flows, so its allowance did not grow, and a new home counted from 0: make demo saw 1 flow above the allowance after an instance was replaced. Change: the owner passes the first packet to the home with the place message; the home counts a copy, the owner reports the flow as established and voids the copy at its end, and a new home waits HomeWait for the counts.

The test fails without the place message.

--- a/internal/control/servers.go
+++ b/internal/control/servers.go
@@ -81,7 +81,7 @@
 func (m *machine) refreshHomes() {
 	m.health.Each(func(id model.ServerID) {
 		home := m.pub.members.Home(id, m.o.Self.Zone)
-		m.health.SetHome(id, home != nil && home.ID == m.o.Self.ID && !m.leaving)
+		m.health.SetHome(m.now, id, home != nil && home.ID == m.o.Self.ID && !m.leaving)
 	})
 	m.rebuild = true
 }
--- a/internal/core/flow/fleet_test.go
+++ b/internal/core/flow/fleet_test.go
@@ -48,6 +48,7 @@
 	late []string
 	// crossed lists packets that another service's server accepted.
 	crossed   []string
+	confirmed int // successes told to the homes of cold servers
 	newFlows  map[model.ServerID]int
 	bytes     int // of exceptions
 	delivered int
@@ -83,6 +84,7 @@
 	print       uint64
 	server      model.ServerID // server that accepted the SYN
 	established bool
+	closing     bool // sends a FIN
 	ended       bool
 	gap         time.Duration
 	due         model.Time
@@ -211,7 +213,7 @@
 				x.ConnectionLimit = max(1, server.Connections/uint32(max(1, members.LiveIn(server.Zone))))
 				x.NewWork = server.State == model.ServerActive
 				if f.cold[server.ID] {
-					x.Warmth, x.ConnectionLimit = view.Cold, server.Connections/64
+					x.Warmth, x.ConnectionLimit, x.FlowsAtHome = view.Cold, server.Connections/64, true
 					home := members.Home(server.ID, server.Zone)
 					x.NewWork = x.NewWork && home != nil && home.ID == v.Self.ID
 				}
@@ -314,6 +316,9 @@
 	if c.server == "" {
 		m.Flags = FlagSYN
 	}
+	if c.closing {
+		m.Flags |= FlagFIN
+	}
 	var at netip.AddrPort
 	for at = f.order[f.rng.IntN(len(f.order))]; f.engines[at].dead; at = f.order[f.rng.IntN(len(f.order))] {
 	}
@@ -354,8 +359,15 @@
 		return
 	}
 	e.seq++
-	to.shard.Learn(to.view, f.now, &Message{Kind: d.Note.Kind, Service: d.Service, Fingerprint: m.Fingerprint, Sender: e.member.FlowAddress,
-		Sequence: e.seq, Attempt: d.Note.Attempt, Server: d.Note.Server, Validity: d.Note.Validity})
+	told := &Message{Kind: d.Note.Kind, Service: d.Service, Fingerprint: m.Fingerprint, Sender: e.member.FlowAddress,
+		Sequence: e.seq, Attempt: d.Note.Attempt, Server: d.Note.Server, Validity: d.Note.Validity}
+	if told.Kind != KindEstablished {
+		to.shard.Learn(to.view, f.now, told)
+		return
+	}
+	if _, seen := to.shard.Confirm(to.view, f.now, told); seen.Kind == ObservedEstablished {
+		f.confirmed++
+	}
 }
 
 // lose counts a lost packet. A caller gives up after ten in a row.
--- a/internal/core/flow/learn.go
+++ b/internal/core/flow/learn.go
@@ -36,9 +36,33 @@
 		r.word |= flagEstablish | flagProgress
 	}
 	s.classify(r, now)
+	if m.Attempt >= firstPlace && r.has(flagException) {
+		r.word |= flagSent // the instance that placed the flow has a copy
+	}
 	return model.ReasonPeerRecord
 }
 
+// Confirm handles the word of an owner that a flow which this instance placed is
+// established: the home of a cold server raises its allowance by such successes.
+func (s *Shard) Confirm(v *view.View, now model.Time, m *Message) (model.Reason, Observation) {
+	if reason := s.check(v, now); reason != model.ReasonNone {
+		return reason, Observation{}
+	}
+	if !s.accept(m.Sender, m.Sequence) {
+		return model.ReasonReplayed, Observation{}
+	}
+	r := s.records.find(m.Fingerprint)
+	if r == nil || r.role() != roleCopy || r.service() != m.Service || r.server != m.Server || r.has(flagEstablish) {
+		return model.ReasonPeerRecord, Observation{}
+	}
+	server := s.server(r)
+	if server == nil {
+		return model.ReasonServerRemoved, Observation{}
+	}
+	r.word |= flagEstablish
+	return model.ReasonKnownFlow, Observation{Kind: ObservedEstablished, Server: server.ID}
+}
+
 // learnHint stores a hint, unless this instance owns the flow itself.
 func (s *Shard) learnHint(r *record, now model.Time, m *Message) model.Reason {
 	if r != nil && r.role() == roleOwn && r.service() == m.Service {
@@ -118,17 +142,20 @@
 		// The view of the sender is newer; this one follows within NoteDelay.
 		return roleCopy, false
 	}
-	owner, _ := s.route(e, now).owner(x.Fingerprint)
+	route := s.route(e, now)
+	owner, _ := route.owner(x.Fingerprint)
 	if owner == nil || owner.ID == s.view.Self.ID {
 		return roleOwn, false
 	}
-	return roleCopy, server.Zone == s.view.Self.Zone && owner.Zone != s.view.Self.Zone
+	atHome := server.FlowsAtHome && route.home(server) == nil
+	return roleCopy, server.Zone == s.view.Self.Zone && (owner.Zone != s.view.Self.Zone || atHome)
 }
 
 // classify marks an own flow as an exception if it is one.
 func (s *Shard) classify(r *record, now model.Time) {
 	r.word &^= flagException | flagSent
-	if e := s.byID[r.service()]; e != nil && s.route(e, now).exception(r.fingerprint, r.server) {
+	e, server := s.byID[r.service()], s.server(r)
+	if e != nil && server != nil && s.route(e, now).exception(r.fingerprint, server) {
 		r.word |= flagException
 	}
 }
--- a/internal/core/flow/message.go
+++ b/internal/core/flow/message.go
@@ -33,6 +33,9 @@
 	KindHint
 	// KindFound tells the instance that looked a flow up its server.
 	KindFound
+	// KindEstablished tells the home of a cold server that a flow which it
+	// placed for another owner is established.
+	KindEstablished
 	kindCount
 )
 
@@ -78,7 +81,7 @@
 	// Hops counts the instances that passed the packet on.
 	Hops uint8
 	// Attempt numbers the lookups of one packet; from firstPlace on it numbers
-	// the availability zones that were asked to place it.
+	// the instances that were asked to place it.
 	Attempt uint8
 	// Server is the number of the flow's server, or 0. On a relay it is what
 	// the sender last knew.
--- a/internal/core/flow/promises_test.go
+++ b/internal/core/flow/promises_test.go
@@ -108,6 +108,44 @@
 	})
 }
 
+// Guards against new flows that are dropped although a cold server may take
+// them: their owner is not the server's home instance. Without the question to
+// the home, a service with one quiet server would refuse most flows for good.
+// Ended flows must free the home's count, or the server seems full.
+func TestColdStartHomeTakesFlowsOfOtherOwners(t *testing.T) {
+	f := newFleet(3, map[model.Zone]int{"a": 3}, map[model.Zone]int{"a": 1}, 1)
+	server := f.config.Services[0].Servers[0]
+	f.cold[server.ID] = true
+	f.spread(0)
+	allowance := int(server.Connections / 64)
+	for round := range 3 {
+		before, dropped := f.newFlows[server.ID], f.drops[model.ReasonNoCapacity]
+		for range allowance {
+			f.open(0, 5*time.Second)
+			f.step(50 * time.Millisecond)
+		}
+		require.Equal(t, before+allowance, f.newFlows[server.ID], "round %d", round)
+		require.Equal(t, dropped, f.drops[model.ReasonNoCapacity], "round %d", round)
+		f.open(0, 5*time.Second)
+		f.step(50 * time.Millisecond)
+		require.Equal(t, before+allowance, f.newFlows[server.ID], "one flow above the allowance")
+		for range 10 {
+			f.step(time.Second)
+		}
+		require.Positive(t, f.confirmed, "the home learns of no success, so the allowance cannot grow")
+		for _, c := range f.flows {
+			if c.closing = c.server != "" && !c.ended; c.closing {
+				f.send(c)
+			}
+			c.ended = true
+		}
+		for range 100 {
+			f.step(time.Second)
+		}
+	}
+	require.Zero(t, f.totalBroken(), strings.Join(f.brokenTrace, "\n"))
+}
+
 // crash ends an instance without notice. Peers notice it 3 s later.
 func (f *fleet) crash() *engine {
 	e := f.engines[f.members[f.rng.IntN(len(f.members))].FlowAddress]
--- a/internal/core/flow/route.go
+++ b/internal/core/flow/route.go
@@ -81,16 +81,20 @@
 }
 
 // target returns the instance that holds a copy of an exception: the owner, if
-// self is not; else the owner in the server's zone, if that is another one, as
-// it counts the server's connections; else the next owner in rendezvous order.
-func (r route) target(hash uint64, serverZone model.Zone) *model.Member {
+// self is not; else the home of a server that is an exception for its count only;
+// else the owner in the server's zone, if that is another one, as it counts the
+// server's connections; else the next owner in rendezvous order.
+func (r route) target(hash uint64, server *view.Server) *model.Member {
 	self := r.view.Self.ID
 	owner, zone := r.owner(hash)
 	if owner == nil || owner.ID != self {
 		return owner
 	}
-	if serverZone != zone.Zone {
-		if m := r.members.Owner(serverZone, hash); m != nil && m.ID != self {
+	if home := r.home(server); home != nil && !r.differs(hash, server.Number) {
+		return home // it counts the server's connections
+	}
+	if server.Zone != zone.Zone {
+		if m := r.members.Owner(server.Zone, hash); m != nil && m.ID != self {
 			return m
 		}
 	}
@@ -203,9 +207,28 @@
 	return g.ReplacedAt == 0 || r.now.Sub(g.ReplacedAt) < d
 }
 
-// exception reports whether a server differs from the table's choice under some
+// home returns the instance that alone may open flows on a server, or nil if
+// each instance has a share or self is the one.
+func (r route) home(server *view.Server) *model.Member {
+	if !server.FlowsAtHome {
+		return nil
+	}
+	home := r.members.Home(server.ID, server.Zone)
+	if home == nil || home.ID == r.view.Self.ID {
+		return nil
+	}
+	return home
+}
+
+// exception reports whether another instance must have a copy of a flow: a new
+// owner might not find it by computation, or the server's home counts it.
+func (r route) exception(hash uint64, server *view.Server) bool {
+	return r.home(server) != nil || r.differs(hash, server.Number)
+}
+
+// differs reports whether a server differs from the table's choice under some
 // retained generation, so that a new owner might not find it by computation.
-func (r route) exception(hash uint64, server uint32) bool {
+func (r route) differs(hash uint64, server uint32) bool {
 	for _, g := range r.history.Generations {
 		if !r.replacedWithin(g, table.GenerationRetention+retentionMargin) {
 			continue
--- a/internal/core/flow/shard.go
+++ b/internal/core/flow/shard.go
@@ -35,7 +35,8 @@
 	NoteDelay = 10 * time.Second
 	// relaysPerHint is the number of relayed packets that earn a hint.
 	relaysPerHint = 3
-	// firstPlace is the first Attempt that asks another zone to place a flow.
+	// firstPlace is the first Attempt that asks another instance to place a flow:
+	// the home of the table's choice. The later ones ask other zones.
 	firstPlace = 16
 	// lookupsPerSecond bounds the lookups of a shard, so that packets of
 	// unknown flows are not multiplied.
--- a/internal/core/flow/sweep.go
+++ b/internal/core/flow/sweep.go
@@ -218,7 +218,7 @@
 	case r.role() == roleCopy && r.has(flagSent):
 		return
 	}
-	if !route.exception(r.fingerprint, r.server) {
+	if !route.exception(r.fingerprint, server) {
 		r.word &^= flagException | flagSent
 		if !mine && r.role() == roleOwn {
 			s.become(r, roleCopy)
@@ -239,8 +239,8 @@
 	if w.base == nil || history == nil {
 		return true
 	}
-	before := route{view: s.view, members: w.base, history: history}.target(r.fingerprint, server.Zone)
-	after := present.target(r.fingerprint, server.Zone)
+	before := route{view: s.view, members: w.base, history: history}.target(r.fingerprint, server)
+	after := present.target(r.fingerprint, server)
 	return before == nil || after == nil || before.ID != after.ID || before.Incarnation != after.Incarnation
 }
 
@@ -337,7 +337,7 @@
 	if e == nil || server == nil {
 		return true
 	}
-	to := s.route(e, now).target(x.Fingerprint, server.Zone)
+	to := s.route(e, now).target(x.Fingerprint, server)
 	if to == nil {
 		return true
 	}
--- a/internal/core/flow/transit.go
+++ b/internal/core/flow/transit.go
@@ -90,6 +90,9 @@
 		r.setCounter(0)
 		r.extra = r.extra&^0xffff | ack
 		x.d.Observed = Observation{Kind: ObservedEstablished, Server: server.ID}
+		if home := x.route(x.service, x.now).home(server); home != nil {
+			x.d.tell(home.FlowAddress, Envelope{Kind: KindEstablished, Server: r.server})
+		}
 	case !r.has(flagProgress) && r.extra&0xffff != ack:
 		r.word |= flagProgress
 		x.d.Observed = Observation{Kind: ObservedProgress, Server: server.ID}
@@ -159,7 +162,9 @@
 		x.place(r)
 		return
 	case KindNotKnown:
-		x.placeElsewhere(int(x.m.Attempt) + 1)
+		if r == nil || !x.repeated(r) {
+			x.placeNext(r)
+		}
 		return
 	}
 	if owner := x.passTo(); owner != nil {
@@ -183,12 +188,7 @@
 			return
 		}
 	}
-	server, reason := x.choose(r)
-	if server == nil {
-		x.placeElsewhere(firstPlace)
-		return
-	}
-	x.start(server, reason)
+	x.placeHere(r, true)
 }
 
 // repeated decides about a SYN of a flow with a record at the owner. It reports
@@ -234,9 +234,11 @@
 }
 
 // leaving reports whether a server must get no new flows. Only instances in the
-// server's zone know more than its configured state.
+// server's zone know more than its configured state, and only its home while it
+// takes flows from there alone.
 func (x *transit) leaving(server *view.Server) bool {
-	return server.State == model.ServerDraining || server.Zone == x.view.Self.Zone && !server.NewWork
+	return server.State == model.ServerDraining ||
+		server.Zone == x.view.Self.Zone && !server.NewWork && !server.FlowsAtHome
 }
 
 // start stores a new own flow and delivers its packet.
@@ -264,7 +266,7 @@
 		return
 	case KindNotKnown:
 		if x.m.Attempt >= firstPlace {
-			x.placeElsewhere(int(x.m.Attempt) + 1)
+			x.placeNext(nil)
 			return
 		}
 	}
@@ -289,7 +291,8 @@
 		return
 	}
 	if x.m.Key.Protocol != ProtocolTCP {
-		x.firstDatagram()
+		// A datagram of a flow that nobody knows is taken as its first.
+		x.placeHere(nil, true)
 		return
 	}
 	if server := x.route(x.service, x.now).recompute(x.service.id, x.m.Fingerprint); server != nil {
@@ -348,19 +351,37 @@
 	x.d.deliver(server, reason)
 }
 
-// firstDatagram treats a UDP packet of a flow that nobody knows as its first.
-func (x *transit) firstDatagram() {
-	server, reason := x.choose(nil)
+// placeHere chooses a server of this zone for a new flow. If the table's choice
+// takes flows from its home instance only, that one is asked first.
+func (x *transit) placeHere(former *record, askHome bool) {
+	if home := x.homeOfChoice(); askHome && home != nil {
+		if former != nil {
+			x.drop(former)
+		}
+		x.d.forward(home.FlowAddress, x.service.id, model.ReasonServerCold,
+			Envelope{Kind: KindPlace, Hops: 1, Attempt: firstPlace})
+		return
+	}
+	server, reason := x.choose(former)
 	if server == nil {
-		x.placeElsewhere(firstPlace)
+		x.placeElsewhere(firstPlace + 1)
 		return
 	}
 	x.start(server, reason)
 }
 
+// placeNext goes on after another instance could not place the flow.
+func (x *transit) placeNext(former *record) {
+	if x.m.Attempt == firstPlace {
+		x.placeHere(former, false)
+		return
+	}
+	x.placeElsewhere(int(x.m.Attempt) + 1)
+}
+
 // placeElsewhere asks the next availability zone for a server.
 func (x *transit) placeElsewhere(attempt int) {
-	placer := x.route(x.service, x.now).placer(x.m.Fingerprint, attempt-firstPlace)
+	placer := x.route(x.service, x.now).placer(x.m.Fingerprint, attempt-firstPlace-1)
 	if placer == nil || attempt > 255 {
 		x.d.Reason = model.ReasonNoCapacity
 		return
@@ -369,7 +390,8 @@
 		Envelope{Kind: KindPlace, Hops: 1, Attempt: uint8(attempt)})
 }
 
-// place chooses a server of this zone for an owner in another zone. The copy
+// place chooses a server of this zone for an owner that may not: it is in
+// another zone, or the server takes flows from its home instance only. The copy
 // counts against the server's connections.
 func (x *transit) place(r *record) {
 	var server *view.Server
@@ -391,7 +413,11 @@
 		r.word |= flagCounted | flagSent
 		x.connections[view.ServerRef{Service: x.service.id, Number: server.Number}]++
 	}
-	x.d.deliver(server, model.ReasonOtherZone)
+	reason := model.ReasonOtherZone
+	if x.m.Attempt == firstPlace {
+		reason = model.ReasonTableChoice
+	}
+	x.d.deliver(server, reason)
 	x.d.tell(x.m.Sender, Envelope{Kind: KindFound, Attempt: x.m.Attempt, Server: server.Number})
 }
 
@@ -426,16 +452,7 @@
 	if former != nil {
 		x.drop(former)
 	}
-	g := x.service.history.Current()
-	if g == nil {
-		return nil, model.ReasonNone
-	}
-	var zone *table.ZoneTable
-	for i := range g.Zones {
-		if g.Zones[i].Zone == x.view.Self.Zone {
-			zone = &g.Zones[i]
-		}
-	}
+	zone := x.ownZone()
 	if zone == nil {
 		return nil, model.ReasonNone
 	}
@@ -456,3 +473,32 @@
 	}
 	return best, model.ReasonAlternative
 }
+
+// ownZone returns the table of the instance's zone, or nil.
+func (x *transit) ownZone() *table.ZoneTable {
+	g := x.service.history.Current()
+	if g == nil {
+		return nil
+	}
+	for i := range g.Zones {
+		if g.Zones[i].Zone == x.view.Self.Zone {
+			return &g.Zones[i]
+		}
+	}
+	return nil
+}
+
+// homeOfChoice returns the instance that alone may open flows on the table's
+// choice, if it is another one.
+func (x *transit) homeOfChoice() *model.Member {
+	zone := x.ownZone()
+	if zone == nil {
+		return nil
+	}
+	number, _ := zone.Table.LookupNumber(x.m.Fingerprint)
+	server := x.view.ByNumber[view.ServerRef{Service: x.service.id, Number: number}]
+	if server == nil || server.State != model.ServerActive || server.Warmth == view.Failed {
+		return nil
+	}
+	return x.route(x.service, x.now).home(server)
+}
--- a/internal/core/health/health.go
+++ b/internal/core/health/health.go
@@ -80,6 +80,7 @@
 	service  model.ServiceID
 	out      bool // its zone is out of service
 	home     bool
+	homeFrom model.Time // the home takes flows from then on
 	ramps    [2]ramp    // by Unit
 	retryAt  model.Time // no new work before; 0 unless failed
 	quiet    model.Time // no new work before, because others may still use their share
@@ -214,14 +215,18 @@
 	return c
 }
 
+// HomeWait is how long a new home opens no flows on a cold server. In this time
+// the owners of its flows tell the home of them; it would count from 0 otherwise.
+const HomeWait = 6 * time.Second
+
 // SetHome says whether this instance is the home of a server. A new home
-// begins with the smallest allowance.
-func (t *Table) SetHome(id model.ServerID, home bool) {
+// begins with the smallest allowance, for flows after HomeWait.
+func (t *Table) SetHome(now model.Time, id model.ServerID, home bool) {
 	s, ok := t.servers[id]
 	if !ok || s.home == home {
 		return
 	}
-	s.home = home
+	s.home, s.homeFrom = home, now.Add(HomeWait)
 	if s.record.Warm || s.record.WarmFlows {
 		s.ramps = [2]ramp{}
 	} else {
@@ -378,6 +383,10 @@
 			s.distrust = 0
 			t.changed = true
 		}
+		if s.homeFrom != 0 && !now.Before(s.homeFrom) {
+			s.homeFrom = 0
+			t.changed = true
+		}
 		if s.quiet != 0 && !now.Before(s.quiet) {
 			s.quiet = 0
 			t.changed = true
@@ -516,6 +525,9 @@
 	st := Standing{Home: s.home, Slots: requests.slots(&s.config), Connections: flows.connections(&s.config),
 		// While a ramp settles, the home instance keeps its share only.
 		Alone: !s.record.Warm && requests.settle == 0, AloneFlows: !s.record.WarmFlows && flows.settle == 0}
+	if now.Before(s.homeFrom) {
+		st.Connections = 0
+	}
 	switch {
 	case s.config.State == model.ServerDraining || s.record.Draining:
 		st.State, st.Reason = Draining, model.ReasonServerDraining
--- a/internal/core/health/health_test.go
+++ b/internal/core/health/health_test.go
@@ -14,7 +14,7 @@
 	t.SetConfig(0, &model.Configuration{Services: []model.Service{{ID: 1, Servers: []model.Server{
 		{ID: "s", Zone: "a", Slots: 4, Connections: 2000, Weight: 1},
 	}}}})
-	t.SetHome("s", true)
+	t.SetHome(0, "s", true)
 	return t
 }
 
@@ -33,6 +33,14 @@
 	require.EqualValues(t, 2000/64, s.Connections)
 }
 
+// Guards against flows above the allowance when the home of a cold server
+// moves: the new home does not know yet which flows the server carries.
+func TestColdStartNewHomeWaitsForCounts(t *testing.T) {
+	table := coldTable()
+	require.Zero(t, table.Standing(model.Time(HomeWait)-1, "s").Connections)
+	require.EqualValues(t, 2000/64, table.Standing(model.Time(HomeWait), "s").Connections)
+}
+
 // Guards against records of one epoch that never agree: a server that is warm
 // for requests at one instance and for flows at another.
 func TestMergeJoinsRecordsOfOneEpoch(t *testing.T) {
--- a/internal/core/health/property_test.go
+++ b/internal/core/health/property_test.go
@@ -24,7 +24,7 @@
 	t := New("a", false)
 	t.SetConfig(0, config(servers))
 	for i := range servers {
-		t.SetHome(model.ServerID(fmt.Sprintf("s%d", i)), home)
+		t.SetHome(0, model.ServerID(fmt.Sprintf("s%d", i)), home)
 	}
 	return t
 }
--- a/internal/traffic/flows/worker.go
+++ b/internal/traffic/flows/worker.go
@@ -66,6 +66,10 @@
 		w.shard.LearnRecords(v, now, j.records)
 	case j.failed != nil:
 		w.shard.Failed(j.failed)
+	case j.message.Kind == flow.KindEstablished:
+		reason, seen := w.shard.Confirm(v, now, &j.message)
+		o.Recorder.Count(part, reason)
+		w.observe(seen)
 	case !j.message.Kind.CarriesPacket():
 		o.Recorder.Count(part, w.shard.Learn(v, now, &j.message))
 	default:
@@ -94,8 +98,12 @@
 	if d.Ended != model.ReasonNone {
 		w.ended(flow.Ended{Fingerprint: m.Fingerprint, Service: d.Service, Reason: d.Ended}, now)
 	}
-	if d.Observed.Kind != flow.ObservedNone && o.Observe != nil {
-		o.Observe(d.Observed)
+	w.observe(d.Observed)
+}
+
+func (w *worker) observe(seen flow.Observation) {
+	if seen.Kind != flow.ObservedNone && w.pool.options.Observe != nil {
+		w.pool.options.Observe(seen)
 	}
 }
 
