--- a/internal/core/flow/route.go
+++ b/internal/core/flow/route.go
@@ -11,9 +11,9 @@
 )
 
 // MaxLookups bounds the instances that are asked for a flow, one after the
-// other. The first one knows it after a single change. In 2,000 random series of
-// up to three changes at once every few seconds, two lookups broke flows in one
-// of 30 series, four in one of 500.
+// other. The first one knows it after a single change. In random series of up to
+// three changes at once every few seconds, two lookups broke a flow within 100
+// series and four within 301 and 738 (docs/MEASUREMENTS-flows.md).
 const MaxLookups = 8
 
 // ranksPerZone is how many instances of one of its zones are asked for a flow
--- a/internal/core/table/table_test.go
+++ b/internal/core/table/table_test.go
@@ -64,7 +64,10 @@
 		require.InDelta(t, 1.5*share, added, 0.6*share+0.005, "%d servers and one more", n)
 		heavier := servers(n + 1)
 		heavier[n/2].Weight = 200
-		require.Less(t, moved(Build(all), Build(heavier), 40000), 2.2*share+0.005, "%d servers, one twice as heavy", n)
+		reweighted := moved(Build(all), Build(heavier), 40000)
+		require.Less(t, reweighted, 2.2*share+0.005, "%d servers, one twice as heavy", n)
+		t.Logf("%d servers: one more moves %.2f %% of the flows, one twice as heavy %.2f %%; the least is %.2f %%",
+			n, 100*added, 100*reweighted, 100*share)
 	}
 }
 
