--- a/internal/core/flow/shard.go
+++ b/internal/core/flow/shard.go
@@ -129,6 +129,9 @@
 		for i := range v.Config.Services {
 			c := &v.Config.Services[i]
 			e := &service{config: c, id: c.ID, history: v.Tables[c.ID]}
+			if e.history == nil {
+				e.history = &table.History{}
+			}
 			s.services[addressKey(c.VirtualAddress)], byID[c.ID] = e, e
 			if before := s.byID[c.ID]; before == nil || before.history != e.history {
 				s.changed(now)
--- a/internal/core/flow/shard_test.go
+++ b/internal/core/flow/shard_test.go
@@ -45,6 +45,15 @@
 		require.Equal(t, Drop, d.Verb)
 		require.Equal(t, c.want, d.Reason)
 	}
+	for _, flags := range []uint8{FlagSYN, FlagACK} { // a service without a table
+		noTables := *e.view
+		noTables.Config, noTables.Tables = &model.Configuration{Version: 2, Services: e.view.Config.Services}, nil
+		shard, d := NewShard(DefaultSettings(1, 10)), Decision{}
+		first := m
+		first.Flags = flags
+		shard.Packet(&noTables, f.now, &first, &d)
+		require.Equal(t, []any{Drop, model.ReasonNoCapacity}, []any{d.Verb, d.Reason})
+	}
 	require.Zero(t, e.shard.Len())
 	require.Equal(t, model.ReasonStaleView, e.shard.Learn(&expired, f.now, &Message{Kind: KindHint}))
 }
--- a/internal/core/table/table.go
+++ b/internal/core/table/table.go
@@ -214,8 +214,12 @@
 	return best
 }
 
-// Ranked appends the zones to dst in rendezvous order for a flow hash.
+// Ranked appends the zones to dst in rendezvous order for a flow hash. A nil
+// generation has none.
 func (g *Generation) Ranked(dst []*ZoneTable, hash uint64) []*ZoneTable {
+	if g == nil {
+		return dst
+	}
 	first := len(dst)
 	for i := range g.Zones {
 		dst = append(dst, &g.Zones[i])
