--- a/internal/core/flow/shard.go
+++ b/internal/core/flow/shard.go
@@ -77,6 +77,9 @@
 	records  *records
 	// connections counts the flows that this shard has on each server.
 	connections map[view.ServerRef]int
+	// cold holds, for each cold server whose home is here, the flows that it had
+	// when this instance began to open flows on it.
+	cold map[view.ServerRef]int
 	// passive counts hints and copies.
 	passive int
 	windows map[netip.AddrPort]*replayWindow
@@ -104,7 +107,7 @@
 // NewShard returns an empty shard.
 func NewShard(s Settings) *Shard {
 	return &Shard{
-		settings: s, records: newRecords(), connections: map[view.ServerRef]int{},
+		settings: s, records: newRecords(), connections: map[view.ServerRef]int{}, cold: map[view.ServerRef]int{},
 		windows: map[netip.AddrPort]*replayWindow{}, byID: map[model.ServiceID]*service{},
 	}
 }
@@ -130,6 +133,9 @@
 		for i := range v.Config.Services {
 			c := &v.Config.Services[i]
 			e := &service{config: c, id: c.ID, history: v.Tables[c.ID]}
+			if e.history == nil {
+				e.history = &table.History{}
+			}
 			s.services[addressKey(c.VirtualAddress)], byID[c.ID] = e, e
 			if before := s.byID[c.ID]; before == nil || before.history != e.history {
 				s.changed(now)
--- a/internal/core/flow/sweep.go
+++ b/internal/core/flow/sweep.go
@@ -103,6 +103,7 @@
 func (s *Shard) endPass(now model.Time) {
 	w := &s.sweep
 	w.next = 0
+	s.forgetCold(now)
 	w.pending = append(w.pending[:0], w.found...)
 	w.found = w.found[:0]
 	slices.SortFunc(w.pending, func(a, b pendingRecord) int { return cmp.Compare(int16(a.born-b.born), 0) })
--- a/internal/core/health/health.go
+++ b/internal/core/health/health.go
@@ -352,7 +352,9 @@
 		if s.record.Warm || s.record.WarmFlows {
 			t.demote(now, s)
 		}
-		if !s.record.Warm && s.home && !now.Before(s.retryAt) {
+		// After a pause traffic tries the server for a while, whatever the
+		// endpoint says: an endpoint that is down for good proves nothing.
+		if !s.record.Warm && s.home && (s.retryAt == 0 || now.Sub(s.retryAt) >= outranks) {
 			t.fail(now, s)
 		}
 		return
