--- /dev/null
+++ b/internal/control/transfer.go
@@ -0,0 +1,220 @@
+package control
+
+import (
+	"errors"
+	"slices"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/savorytiller/savorytiller/internal/core/model"
+	"github.com/savorytiller/savorytiller/internal/core/note"
+	"github.com/savorytiller/savorytiller/internal/core/spread"
+	"github.com/savorytiller/savorytiller/internal/port"
+)
+
+// fetchNotes asks a peer for the notes that follow the one in force.
+func (m *machine) fetchNotes(from model.Member) {
+	m.notes.busy = true
+	answer := &fetchAnswer{}
+	m.call(&effCall{to: from, method: methodFetch, params: &fetch{Have: m.version()}, result: answer, timeout: fetchTimeout,
+		done: func(m *machine, err error) {
+			n := &m.notes
+			n.busy = false
+			if err != nil {
+				m.dropHolder(from.ID)
+				return
+			}
+			if answer.Version <= m.version() {
+				m.dropHolder(from.ID)
+				return
+			}
+			if len(answer.Notes) == 0 {
+				n.full = true
+				return
+			}
+			for _, raw := range answer.Notes {
+				expected := note.Latest{Version: answer.Version, Digest: answer.Digest, HasDigest: true}
+				if err := m.applyRaw(raw, expected); err != nil {
+					if !isReason(err, model.ReasonNoteOld) {
+						m.refuse(answer.Version, err)
+						n.full = true // the peer's configuration may still be acceptable as a whole
+					}
+					break
+				}
+			}
+			m.revalidated()
+		}})
+}
+
+func isReason(err error, reason model.Reason) bool {
+	var r *note.Refusal
+	return errors.As(err, &r) && r.Reason == reason
+}
+
+func (m *machine) dropHolder(id model.InstanceID) {
+	n := &m.notes
+	n.holders = slices.DeleteFunc(n.holders, func(h model.Member) bool { return h.ID == id })
+	n.full = false
+	if n.fromPeer {
+		m.dropParts()
+	}
+	n.retryAt = m.now.Add(retryFetch / 4)
+}
+
+// fetchPart asks a peer for one part of its complete configuration.
+func (m *machine) fetchPart(from model.Member, version model.Version, part int) {
+	n := &m.notes
+	n.busy = true
+	answer := &fetchAnswer{}
+	m.call(&effCall{to: from, method: methodFetch, timeout: fetchTimeout, result: answer,
+		params: &fetch{Have: m.version(), Full: true, Version: version, Part: part},
+		done: func(m *machine, err error) {
+			n.busy = false
+			if err != nil || answer.Part == nil || answer.Version <= m.version() || answer.Parts > note.MaxParts ||
+				part > 0 && answer.Version != version {
+				m.dropHolder(from.ID)
+				return
+			}
+			if part == 0 {
+				n.parts, n.partsOf, n.fromPeer = nil, note.Checkpoint{Version: answer.Version, Parts: answer.Parts}, true
+			}
+			n.parts = append(n.parts, answer.Part)
+			if len(n.parts) < answer.Parts {
+				m.fetchPart(from, answer.Version, part+1)
+				return
+			}
+			err = m.applyParts(answer.Digest, true)
+			m.dropParts()
+			n.full = false
+			if err != nil {
+				m.refuse(answer.Version, err)
+				m.dropHolder(from.ID)
+				n.skip = max(n.skip, answer.Version)
+			}
+			m.revalidated()
+		}})
+}
+
+// provide answers a peer that misses notes.
+func (m *machine) provide(p *fetch) (*fetchAnswer, error) {
+	c := m.notes.config
+	if c == nil {
+		return nil, merry.Wrap(port.ErrNotFound, merry.AppendMessage("no configuration"))
+	}
+	answer := &fetchAnswer{Version: c.Version, Digest: c.Digest}
+	if !p.Full {
+		size := 0
+		for v := p.Have; v < c.Version; {
+			s, ok := m.following(v)
+			if !ok || size+len(s.raw) > maxAnswer && size > 0 {
+				break
+			}
+			answer.Notes = append(answer.Notes, s.raw)
+			size += len(s.raw)
+			v = s.version
+		}
+		return answer, nil
+	}
+	if p.Part > 0 && p.Version != c.Version {
+		return nil, merry.Errorf("version %d is no longer in force", p.Version)
+	}
+	parts := note.Split(c, servicesPerPart, serversPerPart)
+	if p.Part < 0 || p.Part >= len(parts) {
+		return nil, merry.Errorf("part %d of %d", p.Part, len(parts))
+	}
+	answer.Part, answer.Parts = parts[p.Part], len(parts)
+	return answer, nil
+}
+
+type following struct {
+	stored
+	version model.Version
+}
+
+// following returns the stored note that applies to version v.
+func (m *machine) following(v model.Version) (following, bool) {
+	for _, next := range m.notes.order {
+		if s := m.notes.stored[next]; next > v && (s.base == v || s.base == 0) {
+			return following{s, next}, true
+		}
+	}
+	return following{}, false
+}
+
+// offered answers the push of a peer.
+func (m *machine) offered(from model.InstanceID, p *offer) *offerAnswer {
+	m.contact = m.now
+	if p.Age >= 0 {
+		m.sourceSeen = max(m.sourceSeen, m.now.Add(-time.Duration(p.Age)*time.Millisecond))
+	}
+	knew := p.Version <= m.version() || m.notes.busy && p.Version <= m.notes.wanted
+	sender, known := m.members.Get(from)
+	if p.Version > m.version() && len(p.Note) > 0 {
+		expected := note.Latest{Version: p.Version, Digest: p.Digest, HasDigest: true}
+		if err := m.applyRaw(p.Note, expected); err != nil {
+			if !isReason(err, model.ReasonNoteGap) {
+				m.refuse(p.Version, err)
+			}
+		}
+	}
+	if known {
+		m.learned(sender, p.Version, p.Digest)
+	}
+	return &offerAnswer{Knew: knew, Version: m.version()}
+}
+
+// pushNote makes the next call of the push, if one is due.
+func (m *machine) pushNote() {
+	c := m.notes.config
+	if c == nil || m.pushing || m.leaving {
+		return
+	}
+	if m.pushed != c.Version {
+		m.pushed = c.Version
+		m.push.Start(m.notes.latest.Version == c.Version)
+	}
+	all := m.pub.members.All()
+	self, _ := slices.BinarySearchFunc(all, m.o.Self.ID, func(a model.Member, id model.InstanceID) int {
+		return compareID(a.ID, id)
+	})
+	target, ok := m.push.Next(self, len(all))
+	if !ok {
+		return
+	}
+	m.pushing = true
+	params := &offer{Version: c.Version, Digest: c.Digest, Age: m.age()}
+	if s, ok := m.notes.stored[c.Version]; ok && len(s.raw) <= inlineNote {
+		params.Note = s.raw
+	}
+	answer := &offerAnswer{}
+	to := all[target]
+	m.call(&effCall{to: to, method: methodOffer, params: params, result: answer, timeout: callTimeout,
+		done: func(m *machine, err error) {
+			if m.pushed != params.Version || m.version() != params.Version {
+				return // a newer version is being pushed
+			}
+			m.pushing = false
+			switch {
+			case err != nil:
+				m.push.Result(spread.Lost)
+			case answer.Knew:
+				m.push.Result(spread.Knew)
+			default:
+				m.push.Result(spread.Informed)
+			}
+			if err == nil {
+				m.learned(to, answer.Version, c.Digest)
+			}
+		}})
+}
+
+func compareID(a, b model.InstanceID) int {
+	if a < b {
+		return -1
+	}
+	if a > b {
+		return 1
+	}
+	return 0
+}
