Keep the view stale for 200 ms after a pause

Change: after a pause the view stays stale for drainTime, in which traffic drops what was queued. The simulated-time test fails with a drain time of 0.

--- a/internal/control/fleet_test.go
+++ b/internal/control/fleet_test.go
@@ -181,9 +181,11 @@
 	require.Nil(t, m, "a paused instance is no owner")
 	require.False(t, n.view.Fresh(s.now))
 	s.publish(weightBody("a-s0", "a", 5000, 9))
+	resumes := s.now.Add(10 * time.Second)
 	s.after = func(at *simNode) {
 		if at == n && n.view.Fresh(s.now) {
 			require.Equal(t, model.Version(2), n.view.Config.Version, "view after the pause")
+			require.GreaterOrEqual(t, s.now.Sub(resumes), drainTime, "packets queued during the pause are dropped")
 		}
 	}
 	s.run(12 * time.Second)
--- a/internal/control/machine.go
+++ b/internal/control/machine.go
@@ -28,6 +28,10 @@
 	// revalidateLimit is how long a resumed instance waits for a peer or the
 	// service before it acts on its own view again.
 	revalidateLimit = time.Second
+	// drainTime is how long the view stays stale after a pause at least. Traffic
+	// drops meanwhile what was queued: peers have taken those flows over, so an
+	// old first packet would place a flow a second time.
+	drainTime = 200 * time.Millisecond
 	// gossipEvery is the time between additional heartbeats while an update
 	// is urgent.
 	gossipEvery = 200 * time.Millisecond
@@ -85,6 +89,7 @@
 	revalidating bool
 	confirmed    bool // the newest version was asked for after the last pause
 	revalidateBy model.Time
+	drained      model.Time // end of drainTime
 	count        counts
 }
 
@@ -178,6 +183,7 @@
 	m.count.Pauses++
 	m.pauses++
 	m.revalidating, m.confirmed, m.revalidateBy = true, false, now.Add(revalidateLimit)
+	m.drained = now.Add(drainTime)
 	m.servers.ignoreUntil = now.Add(revalidateLimit)
 	m.o.Log.Info("process was paused", "gap", now.Sub(m.last).String())
 	asked := 0
@@ -203,7 +209,7 @@
 // revalidated ends the wait after a pause once the newest version that was
 // named is in force.
 func (m *machine) revalidated() {
-	if m.revalidating && m.confirmed && m.version() >= m.notes.wanted {
+	if m.revalidating && m.confirmed && m.version() >= m.notes.wanted && !m.now.Before(m.drained) {
 		m.revalidating = false
 		m.renewAt = m.now
 	}
@@ -229,6 +235,10 @@
 		m.rebuild = true
 	}
 	m.claim()
+	m.revalidated()
+	if m.revalidating {
+		m.wake(m.drained)
+	}
 	if m.revalidating && !now.Before(m.revalidateBy) {
 		m.revalidating = false
 		m.renewAt = now
