Show operators every member with the reason for its liveness

The status listed only members of the view, so a dead instance disappeared and the WHY column was empty. Control now reports what it believes about the members of its zone and about all members elsewhere that are not live.

--- a/internal/control/status.go
+++ b/internal/control/status.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/savorytiller/savorytiller/internal/core/member"
 	"github.com/savorytiller/savorytiller/internal/core/model"
 )
 
@@ -39,13 +40,15 @@
 	Conflict string
 	Counts   counts
 	Servers  []ServerStatus
+	// Members are those of the own zone and those elsewhere that are not live.
+	Members []member.Belief
 }
 
 // status returns the state for operators.
 func (m *machine) status() *Status {
 	s := &Status{Version: m.version(), Wanted: m.notes.wanted, Age: m.now.Sub(m.contact), SourceAge: m.now.Sub(m.sourceSeen),
 		ListAge: m.now.Sub(m.listAge), Watcher: m.servers.watcher, Live: len(m.pub.members.All()), Known: m.members.Len(),
-		Revalidating: m.revalidating, LastRefusal: m.notes.refusal, Conflict: m.notes.conflict, Counts: m.count}
+		Members: m.members.Beliefs(m.now), Revalidating: m.revalidating, LastRefusal: m.notes.refusal, Conflict: m.notes.conflict, Counts: m.count}
 	if m.notes.config != nil {
 		s.Digest = m.notes.config.Digest
 	}
