Free a connection when its caller closes the flow

Cause: the record of a closed flow stays for ClosingTimeout (60 s) and kept its connection counted. Change: a FIN or RST from the caller frees the connection at once, and the owner tells the home of a cold server. The flow test now allows 2 s instead of 100 s until the allowance is free again.

--- a/internal/core/flow/fleet_test.go
+++ b/internal/core/flow/fleet_test.go
@@ -361,7 +361,7 @@
 	e.seq++
 	told := &Message{Kind: d.Note.Kind, Service: d.Service, Fingerprint: m.Fingerprint, Sender: e.member.FlowAddress,
 		Sequence: e.seq, Attempt: d.Note.Attempt, Server: d.Note.Server, Validity: d.Note.Validity}
-	if told.Kind != KindEstablished {
+	if told.Kind < KindEstablished {
 		to.shard.Learn(to.view, f.now, told)
 		return
 	}
--- a/internal/core/flow/learn.go
+++ b/internal/core/flow/learn.go
@@ -43,7 +43,8 @@
 }
 
 // Confirm handles the word of an owner that a flow which this instance placed is
-// established: the home of a cold server raises its allowance by such successes.
+// established or closed: the home of a cold server raises its allowance by the
+// first, and the second frees a connection.
 func (s *Shard) Confirm(v *view.View, now model.Time, m *Message) (model.Reason, Observation) {
 	if reason := s.check(v, now); reason != model.ReasonNone {
 		return reason, Observation{}
@@ -52,7 +53,15 @@
 		return model.ReasonReplayed, Observation{}
 	}
 	r := s.records.find(m.Fingerprint)
-	if r == nil || r.role() != roleCopy || r.service() != m.Service || r.server != m.Server || r.has(flagEstablish) {
+	// A counted copy may have become a hint meanwhile.
+	if r == nil || r.role() == roleOwn || !r.counted() || r.service() != m.Service || r.server != m.Server {
+		return model.ReasonPeerRecord, Observation{}
+	}
+	if m.Kind == KindClosed {
+		s.drop(r)
+		return model.ReasonKnownFlow, Observation{}
+	}
+	if r.has(flagEstablish) {
 		return model.ReasonPeerRecord, Observation{}
 	}
 	server := s.server(r)
--- a/internal/core/flow/message.go
+++ b/internal/core/flow/message.go
@@ -36,6 +36,8 @@
 	// KindEstablished tells the home of a cold server that a flow which it
 	// placed for another owner is established.
 	KindEstablished
+	// KindClosed tells the home of a cold server that such a flow was closed.
+	KindClosed
 	kindCount
 )
 
--- a/internal/core/flow/promises_test.go
+++ b/internal/core/flow/promises_test.go
@@ -137,7 +137,7 @@
 			}
 			c.ended = true
 		}
-		for range 100 {
+		for range 2 { // the records stay for ClosingTimeout
 			f.step(time.Second)
 		}
 	}
--- a/internal/core/flow/records.go
+++ b/internal/core/flow/records.go
@@ -68,8 +68,19 @@
 func (r *record) setRole(x role)           { r.word = r.word&^roleMask | uint32(x)<<roleShift }
 func (r *record) service() model.ServiceID { return model.ServiceID(r.word & serviceMask) }
 func (r *record) has(flag uint32) bool     { return r.word&flag != 0 }
-func (r *record) counter() uint32          { return r.seen >> counterShift }
-func (r *record) born() uint16             { return uint16(r.extra >> 16) }
+
+// counted reports whether a record uses a connection of its server. A flow that
+// the caller has closed does not: its record stays for ClosingTimeout, but the
+// server has freed the connection.
+func (r *record) counted() bool {
+	if r.role() == roleOwn {
+		return !r.has(flagClosing)
+	}
+	return r.has(flagCounted)
+}
+
+func (r *record) counter() uint32 { return r.seen >> counterShift }
+func (r *record) born() uint16    { return uint16(r.extra >> 16) }
 
 func (r *record) touch(tick uint32) {
 	if r.seen&tickMask != tick {
--- a/internal/core/flow/shard.go
+++ b/internal/core/flow/shard.go
@@ -293,16 +293,21 @@
 // release takes a record out of the counts.
 func (s *Shard) release(r *record) {
 	ref := view.ServerRef{Service: r.service(), Number: r.server}
-	if r.role() == roleOwn || r.has(flagCounted) {
-		if s.connections[ref]--; s.connections[ref] <= 0 {
-			delete(s.connections, ref)
-		}
+	if r.counted() {
+		s.uncount(ref)
 	}
 	if r.role() != roleOwn {
 		s.passive--
 	}
 }
 
+// uncount frees a connection of a server.
+func (s *Shard) uncount(ref view.ServerRef) {
+	if s.connections[ref]--; s.connections[ref] <= 0 {
+		delete(s.connections, ref)
+	}
+}
+
 // drop removes a record. An exception that was sent is voided at its target.
 func (s *Shard) drop(r *record) {
 	if r.role() == roleOwn && r.has(flagException) && r.has(flagSent) {
@@ -317,7 +322,7 @@
 	s.release(r)
 	r.word &^= flagCounted | flagSent
 	r.setRole(as)
-	if as == roleOwn {
+	if r.counted() {
 		s.connections[view.ServerRef{Service: r.service(), Number: r.server}]++
 	} else {
 		s.passive++
--- a/internal/core/flow/transit.go
+++ b/internal/core/flow/transit.go
@@ -77,7 +77,7 @@
 		return
 	}
 	if x.m.Flags&(FlagFIN|FlagRST) != 0 {
-		r.word |= flagClosing
+		x.closing(r, server)
 	}
 	if x.m.Flags&FlagACK == 0 {
 		return
@@ -98,6 +98,19 @@
 	}
 }
 
+// closing notes that the caller closed an own flow, which frees its connection
+// here and at the home of a cold server.
+func (x *transit) closing(r *record, server *view.Server) {
+	if r.has(flagClosing) {
+		return
+	}
+	r.word |= flagClosing
+	x.uncount(view.ServerRef{Service: r.service(), Number: r.server})
+	if home := x.route(x.service, x.now).home(server); home != nil {
+		x.d.tell(home.FlowAddress, Envelope{Kind: KindClosed, Server: r.server})
+	}
+}
+
 // hint tells a relaying instance the server once it has relayed some packets.
 func (x *transit) hint(r *record) {
 	if x.m.Kind != KindRelay || !r.has(flagEstablish) || r.has(flagClosing) {
@@ -209,10 +222,11 @@
 	if r.has(flagClosing) {
 		// A new connection of the same caller. The server stays if it can, as
 		// other instances may still hold hints.
-		if !x.mayTake(server, true) {
+		if !x.mayTake(server, false) {
 			return false
 		}
 		r.word &^= flagClosing | flagEstablish | flagProgress
+		x.connections[view.ServerRef{Service: r.service(), Number: r.server}]++
 		r.setCounter(0)
 		r.touch(x.tick)
 		x.d.deliver(server, model.ReasonKnownFlow)
--- a/internal/traffic/flows/worker.go
+++ b/internal/traffic/flows/worker.go
@@ -66,7 +66,7 @@
 		w.shard.LearnRecords(v, now, j.records)
 	case j.failed != nil:
 		w.shard.Failed(j.failed)
-	case j.message.Kind == flow.KindEstablished:
+	case j.message.Kind == flow.KindEstablished || j.message.Kind == flow.KindClosed:
 		reason, seen := w.shard.Confirm(v, now, &j.message)
 		o.Recorder.Count(part, reason)
 		w.observe(seen)
