--- a/cmd/savoryload/main.go
+++ b/cmd/savoryload/main.go
@@ -16,7 +16,7 @@
 )
 
 type commandLine struct {
-	Deployment string        `required:"" enum:"dosenfalz,mandi" help:"Deployment whose traffic is sent."`
+	Deployment string        `required:"" enum:"factory,market" help:"Deployment whose traffic is sent."`
 	Fabric     string        `required:"" help:"Address of the fabric stand-in."`
 	Platform   string        `required:"" help:"Address of the platform stand-in."`
 	Backend    string        `required:"" help:"Control address of the backend stand-in."`
--- a/cmd/savorystub/main.go
+++ b/cmd/savorystub/main.go
@@ -48,7 +48,7 @@
 }
 
 type backendCommand struct {
-	Deployment string `required:"" enum:"dosenfalz,mandi" help:"Deployment whose servers run."`
+	Deployment string `required:"" enum:"factory,market" help:"Deployment whose servers run."`
 	Seed       uint64 `default:"1" help:"Seed of the work times."`
 	Note       string `help:"File for the first release note; standard output without it."`
 	Report     string `help:"File for the control address; standard output without it."`
--- a/internal/adapter/metrics/metrics_test.go
+++ b/internal/adapter/metrics/metrics_test.go
@@ -56,12 +56,12 @@
 // Guards against durations that appear under another tenant or class.
 func TestHistogramsPerTenantAndClass(t *testing.T) {
 	r := New(1)
-	r.Observe("request", "dosenfalz", "writes", 10*time.Millisecond)
-	r.Observe("request", "dosenfalz", "writes", 30*time.Millisecond)
-	r.Observe("request", "mandi", "writes", time.Second)
+	r.Observe("request", "factory", "writes", 10*time.Millisecond)
+	r.Observe("request", "factory", "writes", 30*time.Millisecond)
+	r.Observe("request", "market", "writes", time.Second)
 	got := r.Snapshot().Histograms
 	require.Len(t, got, 2)
-	require.Equal(t, "dosenfalz", got[0].Tenant)
+	require.Equal(t, "factory", got[0].Tenant)
 	require.EqualValues(t, 2, got[0].Count)
 	require.InDelta(t, 20, got[0].MeanMs, 0.001)
 	require.InDelta(t, 30, got[0].MaxMs, 0.001)
--- a/internal/app/app_test.go
+++ b/internal/app/app_test.go
@@ -164,7 +164,7 @@
 			id, zone, b.tunnel.LocalAddr(), strings.TrimPrefix(b.http.URL, "http://")))
 	}
 	return fmt.Sprintf(`{"format": 1, "version": 1, "base": 0, "added": {"zones": [], "services": [{"id": 17,
-		"name": "line-control", "tenant": "dosenfalz", "host": "line-control.local", "virtual_address": %q,
+		"name": "line-control", "tenant": "factory", "host": "line-control.local", "virtual_address": %q,
 		"idle_timeout_ms": 900000, "request_timeout_ms": 20000, "max_body_bytes": 1048576, "kinds": [
 		{"name": "status", "method": "GET", "path_prefix": "/status", "idempotent": true, "class": "reads", "share_percent": 50},
 		{"name": "check", "method": "POST", "path_prefix": "/checks", "idempotent": false, "class": "writes", "share_percent": 50}]}],
--- a/internal/app/shutdown_test.go
+++ b/internal/app/shutdown_test.go
@@ -88,7 +88,7 @@
 		// A request that was not run may be repeated. The slots of a cold server
 		// can be unknown to an instance in its first second.
 		for attempt := 1; ; attempt++ {
-			a := first.request("POST", "/checks", "seam-1", attempt, "the whole check")
+			a := first.request("POST", "/checks", "check-1", attempt, "the whole check")
 			if a.outcome != "not-run" || a.reason != "overloaded" {
 				result <- a
 				return
@@ -134,7 +134,7 @@
 	close(server.release)
 	require.Equal(t, answer{status: http.StatusOK, outcome: "completed", reason: "none", body: "the whole check"}, <-result)
 	require.NoError(t, <-first.ended)
-	require.Equal(t, []string{"seam-1"}, server.keys)
+	require.Equal(t, []string{"check-1"}, server.keys)
 	require.Eventually(t, func() bool {
 		a := second.request("GET", "/status", "", 0, "")
 		return a.err == nil && a.outcome == "completed" && a.body == "ok"
--- a/internal/core/request/baseline_test.go
+++ b/internal/core/request/baseline_test.go
@@ -135,7 +135,7 @@
 // slots measures this system under the same load. detected is the time until
 // the first instance has seen three timeouts of the silent server in a row.
 func slots(seed uint64, factor float64, silent bool) (m measured, detected time.Duration) {
-	s := amberg(seed, baseService)
+	s := factoryFleet(seed, baseService)
 	s.cfg.ResponseTimeout = baseResponse
 	capacity := capacityOf(s, baseService)
 	l := newLoad(s, 2*time.Second, 7*time.Second, offered{name: "reads", method: "GET", rate: factor * capacity})
--- a/internal/core/request/engine_test.go
+++ b/internal/core/request/engine_test.go
@@ -272,7 +272,7 @@
 func TestTenantBytesAreBounded(t *testing.T) {
 	d := newDrive(request.Config{TenantBytes: 1000, InstanceBytes: 1500}, 1)
 	other := d.n.sim.config.Services[0]
-	other.ID, other.Tenant, other.Host = 18, "mandi-bhed", "price"
+	other.ID, other.Tenant, other.Host = 18, "market", "price"
 	d.n.sim.config.Services = append(d.n.sim.config.Services, other)
 	open := func(host string, length int64) (request.ID, bool) {
 		d.last++
@@ -321,7 +321,7 @@
 // while, then refuses new ones as not run, and all that it accepted end with an
 // answer.
 func TestGracefulShutdownUnderLoad(t *testing.T) {
-	s := amberg(19, 50*time.Millisecond)
+	s := factoryFleet(19, 50*time.Millisecond)
 	leaving := s.nodes["halle-b-1"]
 	ends := map[string]int{}
 	l := newLoad(s, 0, 10*time.Second, offered{name: "writes", method: "POST", rate: 300}, offered{name: "reads", method: "GET", rate: 300})
--- a/internal/core/request/fleet_test.go
+++ b/internal/core/request/fleet_test.go
@@ -19,7 +19,7 @@
 	methods := map[string]string{"reads": "GET", "writes": "POST"}
 	for _, pair := range [][2]string{{"reads", "writes"}, {"writes", "reads"}} {
 		name, hog := pair[0], pair[1]
-		s := amberg(11, service)
+		s := factoryFleet(11, service)
 		capacity := capacityOf(s, service)
 		l := newLoad(s, 2*time.Second, 7*time.Second,
 			offered{name: hog, method: methods[hog], rate: 15 * capacity},
@@ -38,7 +38,7 @@
 // all slots.
 func TestClassBorrowsUnusedShare(t *testing.T) {
 	const service = 50 * time.Millisecond
-	s := amberg(12, service)
+	s := factoryFleet(12, service)
 	capacity := capacityOf(s, service)
 	l := newLoad(s, 2*time.Second, 8*time.Second, offered{name: "writes", method: "POST", rate: 2 * capacity})
 	s.start()
@@ -62,7 +62,7 @@
 		{"false suspicion, cleared within the takeover delay", false, time.Second, 2 * time.Second},
 		{"false suspicion that lasts", false, time.Second, 10 * time.Second},
 	} {
-		s := amberg(13, service)
+		s := factoryFleet(13, service)
 		capacity := capacityOf(s, service)
 		newLoad(s, 3*time.Second, 17*time.Second,
 			offered{name: "writes", method: "POST", rate: 0.8 * capacity}, offered{name: "reads", method: "GET", rate: 0.8 * capacity})
@@ -144,7 +144,7 @@
 // when its zone returns under full load.
 func TestZoneLeavesAndReturnsUnderLoadColdStart(t *testing.T) {
 	const service = 50 * time.Millisecond
-	s := amberg(17, service)
+	s := factoryFleet(17, service)
 	capacity := capacityOf(s, service)
 	l := newLoad(s, 0, 20*time.Second,
 		offered{name: "writes", method: "POST", rate: 0.75 * capacity}, offered{name: "reads", method: "GET", rate: 0.75 * capacity})
@@ -223,7 +223,7 @@
 // longer known: an instance joins and then another one leaves, and a repetition
 // of each request, to any instance, gets the remembered answer.
 func TestAtMostOnceAnswersSurvivePlannedChanges(t *testing.T) {
-	s := amberg(23, time.Millisecond)
+	s := factoryFleet(23, time.Millisecond)
 	joins, leaves := s.order[1], s.order[4]
 	opinion := func(id model.InstanceID, l model.Liveness) {
 		for _, other := range s.order {
--- a/internal/core/request/load_test.go
+++ b/internal/core/request/load_test.go
@@ -110,9 +110,9 @@
 	return d[min(int(p*float64(len(d))), len(d)-1)]
 }
 
-// amberg is the fleet of Dosenfalz: seven instances in three zones, fifteen
+// factoryFleet is the fleet of the factory deployment: seven instances in three zones, fifteen
 // servers with four slots.
-func amberg(seed uint64, service time.Duration) *sim {
+func factoryFleet(seed uint64, service time.Duration) *sim {
 	zones := []model.Zone{"halle-a", "halle-b", "halle-c"}
 	s := newSim(seed, simConfig(zones, 5, 4), zones, 2)
 	extra := model.Member{ID: "halle-a-3", Zone: "halle-a", Incarnation: 1}
@@ -145,7 +145,7 @@
 func TestOverloadKeepsUsefulThroughput(t *testing.T) {
 	const service = 50 * time.Millisecond
 	for _, factor := range []float64{0.5, 0.8, 1, 2, 5} {
-		s := amberg(7, service)
+		s := factoryFleet(7, service)
 		capacity := capacityOf(s, service)
 		l := newLoad(s, 2*time.Second, 7*time.Second,
 			offered{name: "writes", method: "POST", rate: factor * capacity / 2},
--- a/internal/core/request/sim_test.go
+++ b/internal/core/request/sim_test.go
@@ -506,9 +506,9 @@
 // simConfig is one service with two classes.
 func simConfig(zones []model.Zone, serversPerZone int, slots uint16) *model.Configuration {
 	svc := model.Service{
-		ID: 17, Name: "line-control", Tenant: "dosenfalz", Host: "line", RequestTimeout: time.Second, MaxBody: 1 << 20,
+		ID: 17, Name: "line-control", Tenant: "factory", Host: "line", RequestTimeout: time.Second, MaxBody: 1 << 20,
 		Kinds: []model.RequestKind{
-			{Name: "seam-check", Method: "POST", Class: "writes", Share: 50},
+			{Name: "check", Method: "POST", Class: "writes", Share: 50},
 			{Name: "status", Method: "GET", Idempotent: true, Class: "reads", Share: 50},
 		},
 	}
--- a/internal/standin/deployment/deployment.go
+++ b/internal/standin/deployment/deployment.go
@@ -51,34 +51,34 @@
 // Get returns the deployment with the given name.
 func Get(name string) (*Deployment, error) {
 	switch name {
-	case "dosenfalz":
-		return dosenfalz(), nil
-	case "mandi":
-		return mandi(), nil
+	case "factory":
+		return factory(), nil
+	case "market":
+		return market(), nil
 	}
-	return nil, fmt.Errorf("deployment %q: must be dosenfalz or mandi", name)
+	return nil, fmt.Errorf("deployment %q: must be factory or market", name)
 }
 
-func dosenfalz() *Deployment {
-	line := service(17, "line-control", "dosenfalz", "line", 15)
+func factory() *Deployment {
+	line := service(17, "line-control", "factory", "line", 15)
 	line.Feeds, line.ShortFeeds, line.Interval = 300, 20, 200*time.Millisecond
 	line.Kinds = []Kind{
 		kind("machine-status", "GET", "/status", true, "reads", 50, 150, 0, 512, 10*time.Millisecond),
-		kind("seam-check", "POST", "/checks", false, "writes", 50, 40, 2048, 256, 20*time.Millisecond),
+		kind("check", "POST", "/checks", false, "writes", 50, 40, 2048, 256, 20*time.Millisecond),
 	}
-	images := service(18, "inspection", "dosenfalz", "image", 4)
+	images := service(18, "inspection", "factory", "image", 4)
 	images.Kinds = []Kind{kind("image", "PUT", "/images", true, "uploads", 100, 12, 300<<10, 256, 60*time.Millisecond)}
-	return &Deployment{Name: "dosenfalz", Zones: []string{"halle-a", "halle-b", "halle-c", "qs-labor"},
+	return &Deployment{Name: "factory", Zones: []string{"halle-a", "halle-b", "halle-c", "qs-labor"},
 		Slots: 4, Connections: 2000, ClientDelay: time.Millisecond, Services: []Service{line, images}}
 }
 
-func mandi() *Deployment {
-	price := service(33, "price", "mandi", "price", 15)
+func market() *Deployment {
+	price := service(33, "price", "market", "price", 15)
 	price.Feeds, price.ShortFeeds, price.Interval = 400, 20, 250*time.Millisecond
 	price.Kinds = []Kind{kind("rate-query", "GET", "/rates", true, "reads", 100, 200, 0, 1024, 10*time.Millisecond)}
-	tally := service(34, "tally-intake", "mandi", "tally", 4)
+	tally := service(34, "tally-intake", "market", "tally", 4)
 	tally.Kinds = []Kind{kind("tally", "POST", "/tallies", false, "uploads", 100, 8, 200<<10, 256, 60*time.Millisecond)}
-	return &Deployment{Name: "mandi", Zones: []string{"pkc-a", "pkc-b", "pkc-c"},
+	return &Deployment{Name: "market", Zones: []string{"pkc-a", "pkc-b", "pkc-c"},
 		Slots: 2, Connections: 2000, ClientDelay: 3 * time.Millisecond, Services: []Service{price, tally}}
 }
 
--- a/internal/standin/load/judge_test.go
+++ b/internal/standin/load/judge_test.go
@@ -29,7 +29,7 @@
 
 func judged(t *testing.T, records []backend.Record, results ...any) *Report {
 	t.Helper()
-	d, err := deployment.Get("dosenfalz")
+	d, err := deployment.Get("factory")
 	require.NoError(t, err)
 	d.Services = nil // no feeds are expected
 	l := newLedger(began)
@@ -102,7 +102,7 @@
 
 // Guards against a run that passes because nothing was done.
 func TestJudgeFailsWithoutService(t *testing.T) {
-	d, err := deployment.Get("dosenfalz")
+	d, err := deployment.Get("factory")
 	require.NoError(t, err)
 	r := judge(Options{MinService: 0.9}, d, newLedger(began), nil)
 	require.False(t, r.Passed)
--- a/internal/standin/load/wire_test.go
+++ b/internal/standin/load/wire_test.go
@@ -23,7 +23,7 @@
 // startServers returns two servers of the line control service.
 func startServers(t *testing.T) (*deployment.Service, []*backend.Server) {
 	t.Helper()
-	d, err := deployment.Get("dosenfalz")
+	d, err := deployment.Get("factory")
 	require.NoError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
@@ -129,7 +129,7 @@
 // answering returns an operation whose instance gives the listed answers in turn.
 func answering(t *testing.T, kind int, answers ...http.HandlerFunc) *operation {
 	t.Helper()
-	d, err := deployment.Get("dosenfalz")
+	d, err := deployment.Get("factory")
 	require.NoError(t, err)
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -143,7 +143,7 @@
 	go func() { _ = server.Serve(listener) }()
 	t.Cleanup(func() { _ = server.Close() })
 	return &operation{service: &d.Services[0], kind: &d.Services[0].Kinds[kind], client: &http.Client{}, random: rand.New(rand.NewPCG(1, 1)),
-		targets: func() []string { return []string{listener.Addr().String()} }, id: "seam-1", body: []byte("b")}
+		targets: func() []string { return []string{listener.Addr().String()} }, id: "check-1", body: []byte("b")}
 }
 
 func answerWith(o outcome, body string) http.HandlerFunc {
@@ -161,13 +161,13 @@
 	require.Equal(t, unknown, result.outcome)
 	require.Len(t, result.attempts, maxTransmissions)
 	for _, a := range result.attempts {
-		require.Equal(t, "seam-1", a.operation)
+		require.Equal(t, "check-1", a.operation)
 	}
 }
 
 // Guards against a transmission that counts as never sent because net/http
 // repeated it on its own and found the instance gone: the run of the first one
-// was then taken for a false not-run (faults.sh dosenfalz, seed 2).
+// was then taken for a false not-run (faults.sh factory, seed 2).
 func TestRepeatedTransmissionCountsAsSent(t *testing.T) {
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	require.NoError(t, err)
--- a/internal/traffic/requests/bench_test.go
+++ b/internal/traffic/requests/bench_test.go
@@ -109,10 +109,10 @@
 func benchView(address netip.AddrPort, self model.Member, members []model.Member) *view.View {
 	server := model.Server{ID: "line-01", Zone: "halle-a", RequestAddress: address, Weight: 100, Slots: 4}
 	svc := model.Service{
-		ID: 17, Name: "line-control", Tenant: "dosenfalz", Host: "line-control.local", RequestTimeout: time.Hour,
+		ID: 17, Name: "line-control", Tenant: "factory", Host: "line-control.local", RequestTimeout: time.Hour,
 		MaxBody: 4 << 20, Servers: []model.Server{server},
 		Kinds: []model.RequestKind{
-			{Name: "seam-check", Method: "POST", PathPrefix: "/checks", Class: "writes", Share: 50},
+			{Name: "check", Method: "POST", PathPrefix: "/checks", Class: "writes", Share: 50},
 			{Name: "status", Method: "GET", PathPrefix: "/", Idempotent: true, Class: "reads", Share: 50},
 		},
 	}
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -36,8 +36,8 @@
   sleep 8 # servers warm up, then feeds open
 }
 
-run_dosenfalz() {
-  begin dosenfalz 18 halle-a halle-b halle-c qs-labor
+run_factory() {
+  begin factory 18 halle-a halle-b halle-c qs-labor
   echo "   note 2: line-16 is added, line-03 drains, image-04 is withdrawn"
   publish "add=line-control&drain=line-03&withdraw=image-04"
   await_version
@@ -46,8 +46,8 @@
   finish_load
 }
 
-run_mandi() {
-  begin mandi 24 pkc-a pkc-b pkc-c
+run_market() {
+  begin market 24 pkc-a pkc-b pkc-c
   echo "   note 2: price-16 is added, price-03 drains, tally-04 is withdrawn"
   publish "add=price&drain=price-03&withdraw=tally-04"
   await_version
@@ -64,9 +64,9 @@
 }
 
 failed=0
-run_isolated run_dosenfalz
+run_isolated run_factory
 [ "$status" = 0 ] || failed=1
-run_isolated run_mandi
+run_isolated run_market
 [ "$status" = 0 ] || failed=1
 if [ "$failed" != 0 ]; then
   echo "demo: FAILED, logs are in $root" >&2
--- a/scripts/faults.sh
+++ b/scripts/faults.sh
@@ -4,7 +4,7 @@
 # or stale, and an availability zone leaves and returns, two of these at a time.
 # The seed chooses the targets and the order. Broken flows are reported but
 # accepted, since crashes are no planned change; every other promise counts.
-# Usage: scripts/faults.sh dosenfalz|mandi SEED...
+# Usage: scripts/faults.sh factory|market SEED...
 set -euo pipefail
 cd "$(dirname "$0")/.."
 deployment=${1:?deployment}
@@ -108,9 +108,9 @@
   work=$root/$seed
   mkdir "$work"
   case $name in
-    dosenfalz) zones=(halle-a halle-b halle-c qs-labor) prefix=line ;;
-    mandi) zones=(pkc-a pkc-b pkc-c) prefix=price ;;
-    *) fail "deployment $name: must be dosenfalz or mandi" ;;
+    factory) zones=(halle-a halle-b halle-c qs-labor) prefix=line ;;
+    market) zones=(pkc-a pkc-b pkc-c) prefix=price ;;
+    *) fail "deployment $name: must be factory or market" ;;
   esac
   echo "== faults in $name, seed $seed"
   start_standins --delay 1ms --loss 0.001
