--- a/internal/core/flow/route.go
+++ b/internal/core/flow/route.go
@@ -13,7 +13,7 @@
 // MaxLookups bounds the instances that are asked for a flow, one after the
 // other. The first one knows it after a single change. In random series of up to
 // three changes at once every few seconds, two lookups broke a flow within 100
-// series and four within 301 and 738 (docs/MEASUREMENTS-flows.md).
+// series and four within 301 and 738 (docs/MEASUREMENTS.md).
 const MaxLookups = 8
 
 // ranksPerZone is how many instances of one of its zones are asked for a flow
--- a/internal/core/request/dedup.go
+++ b/internal/core/request/dedup.go
@@ -11,8 +11,8 @@
 const (
 	// DedupWindow is the time for which the owner remembers a key.
 	DedupWindow = 10 * time.Minute
-	// MaxKeys bounds the keys remembered; at about 200 bytes each they take
-	// 20 MB. A full memory refuses new keys rather than forget younger ones.
+	// MaxKeys bounds the keys remembered; at about 300 bytes each they take
+	// 30 MB. A full memory refuses new keys rather than forget younger ones.
 	MaxKeys = 100_000
 	// MaxStoredAnswer is the size in bytes of the largest remembered answer.
 	MaxStoredAnswer = 4096
--- a/internal/core/spread/spread_test.go
+++ b/internal/core/spread/spread_test.go
@@ -22,7 +22,7 @@
 
 const (
 	maxRounds = 4000
-	// Sizes measured on the wire format of this repository; see MEASUREMENTS-control.md.
+	// Sizes measured on the wire format of this repository; see MEASUREMENTS.md.
 	offerBytes = 420
 	noteBytes  = 700
 	// entropyEvery is the number of push rounds per anti-entropy round: a call
@@ -129,7 +129,7 @@
 }
 
 // seedsFlag is the number of seeds for n = 7 and 100; n = 2600 takes a fifth.
-// The figures in docs/MEASUREMENTS-control.md are from 1500 seeds.
+// The figures in docs/MEASUREMENTS.md are from 1500 seeds.
 var seedsFlag = flag.Int("spread.seeds", 100, "seeds of the comparison of strategies")
 
 // Compares the strategies over many seeds and prints the table that design
