--- a/internal/core/health/health.go
+++ b/internal/core/health/health.go
@@ -3,34 +3,11 @@
 import (
 	"math/bits"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/savorytiller/savorytiller/internal/core/model"
-	"github.com/savorytiller/savorytiller/internal/core/placement"
 )
 
-// State is the state of a backend server as this instance sees it.
-type State uint8
-
-const (
-	// Cold servers take the smallest allowance from their home instance only.
-	Cold State = iota
-	// Warming servers take a growing allowance from their home instance only.
-	Warming
-	// Warm servers take work from every instance within its share.
-	Warm
-	// Draining servers take no new work.
-	Draining
-	// Failed servers take no new work until the next try of their home instance.
-	Failed
-)
-
-// String returns the name shown to operators.
-func (s State) String() string {
-	return [...]string{"cold", "warming", "warm", "draining", "failed"}[s]
-}
-
 // Parameters of the decisions.
 const (
 	// connectionLevels is the number of doublings from 1/64 of the connections to all.
@@ -62,18 +39,6 @@
 	maxQueue   = 4096
 )
 
-// Record is what instances of a zone tell each other about a server. A higher
-// epoch wins; records of one epoch are joined.
-type Record struct {
-	Server model.ServerID
-	Epoch  uint32
-	// Warm and WarmFlows say that the server carries its whole load of requests
-	// and of flows.
-	Warm      bool
-	WarmFlows bool
-	Draining  bool
-}
-
 type server struct {
 	record   Record
 	config   model.Server
@@ -166,43 +131,6 @@
 	s.samples, s.latency, s.distrust = 0, 0, 0
 }
 
-func weight(r *Record) uint64 {
-	if r.Epoch == 0 {
-		return 0
-	}
-	flags := uint64(r.Epoch) << 3
-	if r.WarmFlows {
-		flags |= 4
-	}
-	if r.Warm {
-		flags |= 1
-	}
-	if r.Draining {
-		flags |= 2
-	}
-	return placement.Mix(placement.HashString(string(r.Server)), flags)
-}
-
-// Hash summarises all records; equal hashes mean equal records.
-func (t *Table) Hash() uint64 { return t.hash }
-
-func (t *Table) rehash(s *server, change func()) {
-	t.hash -= weight(&s.record)
-	change()
-	t.hash += weight(&s.record)
-}
-
-// update changes a record and passes it on.
-func (t *Table) update(s *server, r Record) {
-	t.rehash(s, func() { s.record = r })
-	s.sent = 0
-	if !s.queued && len(t.queue) < maxQueue {
-		s.queued = true
-		t.queue = append(t.queue, r.Server)
-	}
-	t.changed = true
-}
-
 // KeepAlone makes the home instances keep their servers until the given time,
 // also those that carry their whole load. After a change of membership the new
 // holders of slots wait, so a server announced as warm would stay unused.
@@ -398,152 +326,3 @@
 		}
 	}
 }
-
-// Merge takes records of other instances.
-func (t *Table) Merge(now model.Time, records []Record) {
-	for _, r := range records {
-		s, ok := t.servers[r.Server]
-		if !ok || s.out || r.Epoch < s.record.Epoch {
-			continue
-		}
-		if r.Epoch == s.record.Epoch {
-			r = r.joined(s.record)
-		}
-		if r == s.record {
-			continue
-		}
-		colder := s.record.Warm && !r.Warm || s.record.WarmFlows && !r.WarmFlows
-		t.update(s, r)
-		if colder {
-			s.cool()
-			s.quiet = now.Add(ColdQuiet)
-		}
-	}
-}
-
-// Records returns records to pass on with a message; limit is how often each
-// is sent by one instance.
-func (t *Table) Records(limit int) []Record {
-	var out []Record
-	slices.SortStableFunc(t.queue, func(a, b model.ServerID) int { return t.sent(a) - t.sent(b) })
-	for i := 0; i < len(t.queue) && len(out) < MaxRecords; i++ {
-		if s, ok := t.servers[t.queue[i]]; ok {
-			s.sent++
-			out = append(out, s.record)
-		}
-	}
-	t.queue = slices.DeleteFunc(t.queue, func(id model.ServerID) bool {
-		s, ok := t.servers[id]
-		if ok && s.sent < limit {
-			return false
-		}
-		if ok {
-			s.queued = false
-		}
-		return true
-	})
-	return out
-}
-
-func (t *Table) sent(id model.ServerID) int {
-	if s, ok := t.servers[id]; ok {
-		return s.sent
-	}
-	return 0
-}
-
-// Urgent reports whether a record waits that few have seen.
-func (t *Table) Urgent(limit int) bool {
-	return slices.ContainsFunc(t.queue, func(id model.ServerID) bool { return t.sent(id) < limit/2 })
-}
-
-// All returns all records with a history, sorted by server.
-func (t *Table) All() []Record {
-	var out []Record
-	for _, s := range t.servers {
-		if s.record.Epoch > 0 {
-			out = append(out, s.record)
-		}
-	}
-	slices.SortFunc(out, func(a, b Record) int { return strings.Compare(string(a.Server), string(b.Server)) })
-	return out
-}
-
-// Alone returns the servers that only this instance may use, because they are
-// cold and it is their home, sorted.
-func (t *Table) Alone() []model.ServerID {
-	var out []model.ServerID
-	for id, s := range t.servers {
-		if s.home && !s.out && !(s.record.Warm && s.record.WarmFlows) {
-			out = append(out, id)
-		}
-	}
-	slices.Sort(out)
-	return out
-}
-
-// Homes returns the servers whose home is this instance, sorted.
-func (t *Table) Homes() []model.Server {
-	var out []model.Server
-	for _, s := range t.servers {
-		if s.home && !s.out {
-			out = append(out, s.config)
-		}
-	}
-	slices.SortFunc(out, func(a, b model.Server) int { return strings.Compare(string(a.ID), string(b.ID)) })
-	return out
-}
-
-// Each calls f for every server of the zone.
-func (t *Table) Each(f func(model.ServerID)) {
-	for id := range t.servers {
-		f(id)
-	}
-}
-
-// Standing is what this instance may do with a server.
-type Standing struct {
-	State State
-	// Alone is set while the server is cold: only the home instance sends it
-	// requests. AloneFlows says the same of flows.
-	Alone, AloneFlows bool
-	// Home is set at the home instance.
-	Home bool
-	// Slots and Connections are the allowances of the whole fleet meanwhile.
-	Slots       int
-	Connections uint32
-	// NewWork is false if the server must get nothing new.
-	NewWork bool
-	Reason  model.Reason
-}
-
-// Standing returns what this instance may do with a server of its zone.
-func (t *Table) Standing(now model.Time, id model.ServerID) Standing {
-	s, ok := t.servers[id]
-	if !ok || s.out {
-		return Standing{State: Cold, Alone: true, AloneFlows: true, Reason: model.ReasonServerCold}
-	}
-	requests, flows := &s.ramps[Request], &s.ramps[Connection]
-	st := Standing{Home: s.home, Slots: requests.slots(&s.config), Connections: flows.connections(&s.config),
-		// While a ramp settles, the home instance keeps its share only.
-		Alone: !s.record.Warm && requests.settle == 0, AloneFlows: !s.record.WarmFlows && flows.settle == 0}
-	if now.Before(s.homeFrom) {
-		st.Connections = 0
-	}
-	switch {
-	case s.config.State == model.ServerDraining || s.record.Draining:
-		st.State, st.Reason = Draining, model.ReasonServerDraining
-	case s.distrust != 0 || s.retryAt != 0 && now.Before(s.retryAt):
-		st.State, st.Reason = Failed, model.ReasonServerFailed
-	case s.record.Warm:
-		st.State, st.NewWork = Warm, true
-	case now.Before(s.quiet):
-		st.Reason = model.ReasonServerCold
-	default:
-		st.Reason, st.NewWork = model.ReasonServerCold, s.home || s.record.WarmFlows
-		if requests.level > 0 || requests.settle != 0 || flows.level > 0 {
-			st.State = Warming
-		}
-	}
-	return st
-}
