--- a/cmd/savoryload/main.go
+++ b/cmd/savoryload/main.go
@@ -5,12 +5,15 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
+	"net/netip"
 	"os"
 	"os/signal"
 	"syscall"
 	"time"
 
 	"github.com/alecthomas/kong"
+	"github.com/ansel1/merry/v2"
 
 	"github.com/savorytiller/savorytiller/internal/standin/load"
 )
@@ -27,11 +30,36 @@
 	MinService float64       `default:"0.9" help:"Smallest accepted share of completed operations."`
 	Unplanned  bool          `help:"The run contains crashes: broken flows and interrupted requests are reported but accepted."`
 	JSON       string        `help:"File for the report in JSON."`
+	Check      bool          `help:"Check the flags and exit without sending anything."`
+}
+
+// Validate is called by kong and names the flag and the allowed range.
+func (c *commandLine) Validate() error {
+	for flag, address := range map[string]string{"fabric": c.Fabric, "platform": c.Platform, "backend": c.Backend} {
+		if a, err := netip.ParseAddrPort(address); err != nil || !a.Addr().IsLoopback() {
+			return merry.Errorf("--%s %q: must be a loopback IP number and port", flag, address)
+		}
+	}
+	switch {
+	case c.Duration <= 0:
+		return merry.Errorf("--duration %v: must be above 0", c.Duration)
+	case c.WarmUp < 0 || c.WarmUp > c.Duration:
+		return merry.Errorf("--warm-up %v: must be 0 to the duration", c.WarmUp)
+	case c.Scale <= 0:
+		return merry.Errorf("--scale %v: must be above 0", c.Scale)
+	case c.MinService < 0 || c.MinService > 1:
+		return merry.Errorf("--min-service %v: must be 0 to 1", c.MinService)
+	}
+	return nil
 }
 
 func main() {
 	var c commandLine
 	parser := kong.Parse(&c, kong.Description("Load generator and checker."))
+	if c.Check {
+		fmt.Println("savoryload: flags are valid")
+		return
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	report, err := load.Run(ctx, load.Options{Deployment: c.Deployment, Fabric: c.Fabric, Platform: c.Platform,
--- a/cmd/savorystub/main.go
+++ b/cmd/savorystub/main.go
@@ -4,8 +4,10 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
+	"net/netip"
 	"os"
 	"os/signal"
 	"strings"
@@ -20,6 +22,8 @@
 )
 
 type commandLine struct {
+	Check bool `help:"Check the flags and exit without opening a socket."`
+
 	Platform platformCommand `cmd:"" help:"Configuration service and instance list."`
 	Fabric   fabricCommand   `cmd:"" help:"Network that sprays packets over the instances."`
 	Backend  backendCommand  `cmd:"" help:"Backend servers of a deployment."`
@@ -35,6 +39,14 @@
 	return standin.RunPlatform(ctx, c.Lag, c.Report)
 }
 
+// Validate is called by kong.
+func (c *platformCommand) Validate() error {
+	if c.Lag < 0 {
+		return merry.Errorf("--lag %v: must not be negative", c.Lag)
+	}
+	return nil
+}
+
 type fabricCommand struct {
 	Platform string        `required:"" help:"Address of the platform stand-in."`
 	Seed     uint64        `default:"1" help:"Seed of the choice of instances, losses and delays."`
@@ -47,6 +59,20 @@
 	return standin.RunFabric(ctx, fabric.Options{Platform: c.Platform, Seed: c.Seed, Loss: c.Loss, Delay: c.Delay}, c.Report)
 }
 
+// Validate is called by kong.
+func (c *fabricCommand) Validate() error {
+	if a, err := netip.ParseAddrPort(c.Platform); err != nil || !a.Addr().IsLoopback() {
+		return merry.Errorf("--platform %q: must be a loopback IP number and port", c.Platform)
+	}
+	if c.Loss < 0 || c.Loss > 1 {
+		return merry.Errorf("--loss %v: must be 0 to 1", c.Loss)
+	}
+	if c.Delay < 0 {
+		return merry.Errorf("--delay %v: must not be negative", c.Delay)
+	}
+	return nil
+}
+
 type backendCommand struct {
 	Deployment string `required:"" enum:"factory,market" help:"Deployment whose servers run."`
 	Seed       uint64 `default:"1" help:"Seed of the work times."`
@@ -100,5 +126,9 @@
 	defer stop()
 	parser := kong.Parse(&c, kong.Description("Stand-ins for the outside systems."),
 		kong.BindTo(ctx, (*context.Context)(nil)))
+	if c.Check {
+		fmt.Println("savorystub: flags are valid")
+		return
+	}
 	parser.FatalIfErrorf(parser.Run())
 }
