--- a/internal/control/servers_test.go
+++ b/internal/control/servers_test.go
@@ -340,3 +340,32 @@
 		require.Equal(t, 4, s.uses()["a-s0"].slots, "seed %d", seed)
 	}
 }
+
+// Guards against a server that turned cold without notice and keeps its full
+// load. Reports the time until no instance uses more than the allowance, with an
+// observation every 100 ms at each of three instances (go test -v).
+func TestColdStartTimeToNoticeUnannouncedCold(t *testing.T) {
+	var worst time.Duration
+	for seed := range uint64(20) {
+		s := newSim(seed)
+		s.publish(firstBody(2, "a"))
+		s.fleet(3, "a")
+		cold := false
+		s.traffic(100*time.Millisecond, func(id model.ServerID, _ *simNode) health.Kind {
+			if cold && id == "a-s0" {
+				return health.Timeout
+			}
+			return health.Success
+		})
+		s.run(30 * time.Second)
+		require.Equal(t, 4, s.uses()["a-s0"].slots)
+		cold = true
+		began := s.now
+		for s.uses()["a-s0"].slots > 1 && s.now.Sub(began) < 10*time.Second {
+			s.run(10 * time.Millisecond)
+		}
+		worst = max(worst, s.now.Sub(began))
+	}
+	t.Logf("worst of 20 seeds: %v", worst)
+	require.LessOrEqual(t, worst, 3*time.Second, "a few seconds, besides the time until the first three timeouts")
+}
