--- a/internal/adapter/backendhttp/client.go
+++ b/internal/adapter/backendhttp/client.go
@@ -4,6 +4,7 @@
 package backendhttp
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -68,15 +69,9 @@
 
 // New returns a client.
 func New(o Options) *Client {
-	if o.DialTimeout == 0 {
-		o.DialTimeout = DefaultDialTimeout
-	}
-	if o.IdleTimeout == 0 {
-		o.IdleTimeout = DefaultIdleTimeout
-	}
-	if o.MaxHeaderBytes == 0 {
-		o.MaxHeaderBytes = DefaultMaxHeaderBytes
-	}
+	o.DialTimeout = cmp.Or(o.DialTimeout, DefaultDialTimeout)
+	o.IdleTimeout = cmp.Or(o.IdleTimeout, DefaultIdleTimeout)
+	o.MaxHeaderBytes = cmp.Or(o.MaxHeaderBytes, DefaultMaxHeaderBytes)
 	c := &Client{clock: o.Clock, conns: registry{byAddress: map[string]map[*conn]bool{}}}
 	dialer := &net.Dialer{Timeout: o.DialTimeout}
 	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
--- a/internal/adapter/httpfront/server.go
+++ b/internal/adapter/httpfront/server.go
@@ -4,6 +4,7 @@
 package httpfront
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net"
@@ -55,18 +56,10 @@
 
 // New returns a front end. Serve starts it.
 func New(o Options) (*Server, error) {
-	if o.MaxHeaderBytes == 0 {
-		o.MaxHeaderBytes = DefaultMaxHeaderBytes
-	}
-	if o.HeaderTimeout == 0 {
-		o.HeaderTimeout = DefaultHeaderTimeout
-	}
-	if o.IdleTimeout == 0 {
-		o.IdleTimeout = DefaultIdleTimeout
-	}
-	if o.MaxConnections == 0 {
-		o.MaxConnections = DefaultMaxConnections
-	}
+	o.MaxHeaderBytes = cmp.Or(o.MaxHeaderBytes, DefaultMaxHeaderBytes)
+	o.HeaderTimeout = cmp.Or(o.HeaderTimeout, DefaultHeaderTimeout)
+	o.IdleTimeout = cmp.Or(o.IdleTimeout, DefaultIdleTimeout)
+	o.MaxConnections = cmp.Or(o.MaxConnections, DefaultMaxConnections)
 	logx.Disable()
 	stat.DisableLog()
 	conf := rest.RestConf{}
--- a/internal/control/servers_test.go
+++ b/internal/control/servers_test.go
@@ -201,21 +201,28 @@
 	require.Len(t, lastUsed, 4)
 }
 
-// Guards against full load on a server that turned cold without notice.
-func TestColdStartAfterUnannouncedCold(t *testing.T) {
-	s := newSim(4)
+// warmFleet returns three instances with two warm servers under load. While the
+// switch is set, work on server a-s0 times out.
+func warmFleet(t *testing.T, seed uint64) (*sim, *bool) {
+	s := newSim(seed)
 	s.publish(firstBody(2, "a"))
 	s.fleet(3, "a")
-	cold := false
+	cold := new(bool)
 	s.traffic(100*time.Millisecond, func(id model.ServerID, _ *simNode) health.Kind {
-		if cold && id == "a-s0" {
+		if *cold && id == "a-s0" {
 			return health.Timeout
 		}
 		return health.Success
 	})
 	s.run(30 * time.Second)
 	require.Equal(t, 4, s.uses()["a-s0"].slots)
-	cold = true
+	return s, cold
+}
+
+// Guards against full load on a server that turned cold without notice.
+func TestColdStartAfterUnannouncedCold(t *testing.T) {
+	s, cold := warmFleet(t, 4)
+	*cold = true
 	s.eachView(func(*simNode) {
 		if u := s.uses()["a-s0"]; u.coldUsers > 0 {
 			require.LessOrEqual(t, u.slots, 1, "shares of the warm server and the allowance add up")
@@ -226,7 +233,7 @@
 	s.run(3 * time.Second)
 	s.after = nil
 	require.Equal(t, 4, s.uses()["a-s1"].slots, "the other server stays warm")
-	cold = false
+	*cold = false
 	s.run(40 * time.Second)
 	require.Equal(t, 4, s.uses()["a-s0"].slots, "warm again")
 }
@@ -347,19 +354,8 @@
 func TestColdStartTimeToNoticeUnannouncedCold(t *testing.T) {
 	var worst time.Duration
 	for seed := range uint64(20) {
-		s := newSim(seed)
-		s.publish(firstBody(2, "a"))
-		s.fleet(3, "a")
-		cold := false
-		s.traffic(100*time.Millisecond, func(id model.ServerID, _ *simNode) health.Kind {
-			if cold && id == "a-s0" {
-				return health.Timeout
-			}
-			return health.Success
-		})
-		s.run(30 * time.Second)
-		require.Equal(t, 4, s.uses()["a-s0"].slots)
-		cold = true
+		s, cold := warmFleet(t, seed)
+		*cold = true
 		began := s.now
 		for s.uses()["a-s0"].slots > 1 && s.now.Sub(began) < 10*time.Second {
 			s.run(10 * time.Millisecond)
--- a/internal/core/request/engine.go
+++ b/internal/core/request/engine.go
@@ -1,6 +1,7 @@
 package request
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"time"
 
@@ -67,32 +68,18 @@
 )
 
 func (c Config) withDefaults() Config {
-	setDuration(&c.QueueWait, DefaultQueueWait)
-	setDuration(&c.AdmitTimeout, DefaultAdmitTimeout)
-	setDuration(&c.AcquireTimeout, DefaultAcquireTimeout)
-	setDuration(&c.LeaveGrace, DefaultLeaveGrace)
-	setDuration(&c.ResponseTimeout, DefaultResponseTimeout)
-	if c.QueueLength == 0 {
-		c.QueueLength = DefaultQueueLength
-	}
-	if c.MaxKeys == 0 {
-		c.MaxKeys = MaxKeys
-	}
-	if c.TenantBytes == 0 {
-		c.TenantBytes = DefaultTenantBytes
-	}
-	if c.InstanceBytes == 0 {
-		c.InstanceBytes = DefaultInstanceBytes
-	}
+	c.QueueWait = cmp.Or(c.QueueWait, DefaultQueueWait)
+	c.AdmitTimeout = cmp.Or(c.AdmitTimeout, DefaultAdmitTimeout)
+	c.AcquireTimeout = cmp.Or(c.AcquireTimeout, DefaultAcquireTimeout)
+	c.LeaveGrace = cmp.Or(c.LeaveGrace, DefaultLeaveGrace)
+	c.ResponseTimeout = cmp.Or(c.ResponseTimeout, DefaultResponseTimeout)
+	c.QueueLength = cmp.Or(c.QueueLength, DefaultQueueLength)
+	c.MaxKeys = cmp.Or(c.MaxKeys, MaxKeys)
+	c.TenantBytes = cmp.Or(c.TenantBytes, DefaultTenantBytes)
+	c.InstanceBytes = cmp.Or(c.InstanceBytes, DefaultInstanceBytes)
 	return c
 }
 
-func setDuration(d *time.Duration, def time.Duration) {
-	if *d == 0 {
-		*d = def
-	}
-}
-
 // Engine decides about all requests of one instance. It is owned by one
 // goroutine.
 type Engine struct {
