--- a/internal/core/health/health_test.go
+++ b/internal/core/health/health_test.go
@@ -55,3 +55,20 @@
 	require.Equal(t, []Record{{Server: "s", Epoch: 3}}, a.All())
 	require.Equal(t, a.Hash(), b.Hash())
 }
+
+// Guards against a health endpoint that is down for good and keeps a server out
+// of service for good: it failed the server again right after each pause, before
+// traffic could try it.
+func TestDeadEndpointLeavesTimeToTryTheServer(t *testing.T) {
+	table := coldTable()
+	tried := 0
+	for now := model.Time(time.Second); now < model.Time(time.Minute); now = now.Add(time.Second) {
+		table.Reported(now, "s", Report{}, true)
+		table.Tick(now)
+		if table.Standing(now.Add(500*time.Millisecond), "s").NewWork {
+			tried++
+		}
+	}
+	require.GreaterOrEqual(t, tried, 30, "seconds of a minute in which traffic may try the server")
+	require.Equal(t, Failed, table.Standing(model.Time(time.Minute), "s").State, "the endpoint still counts without traffic")
+}
