--- a/internal/core/flow/choose.go
+++ b/internal/core/flow/choose.go
@@ -9,7 +9,8 @@
 // placeHere chooses a server of this zone for a new flow. If the table's choice
 // takes flows from its home instance only, that one is asked first.
 func (x *transit) placeHere(former *record, askHome bool) {
-	if home := x.homeOfChoice(); askHome && home != nil {
+	zone, choice := x.tableChoice()
+	if home := x.homeOf(choice); askHome && home != nil {
 		if former != nil {
 			x.drop(former)
 		}
@@ -17,7 +18,7 @@
 			Envelope{Kind: KindPlace, Hops: 1, Attempt: firstPlace})
 		return
 	}
-	server, reason := x.choose(former)
+	server, reason := x.choose(former, zone, choice)
 	if server == nil {
 		x.placeElsewhere(firstPlace + 1)
 		return
@@ -53,7 +54,8 @@
 	if r != nil && x.mayTake(x.server(r), true) {
 		server = x.server(r)
 	} else {
-		server, _ = x.choose(r)
+		zone, choice := x.tableChoice()
+		server, _ = x.choose(r, zone, choice)
 		r = nil
 	}
 	if server == nil {
@@ -134,17 +136,15 @@
 // choose returns a server of the instance's zone for a new flow: the table's
 // choice if it may take work, else the next one in rendezvous order. A former
 // record of the flow is removed.
-func (x *transit) choose(former *record) (*view.Server, model.Reason) {
+func (x *transit) choose(former *record, zone *table.ZoneTable, choice *view.Server) (*view.Server, model.Reason) {
 	if former != nil {
 		x.drop(former)
 	}
-	zone := x.ownZone()
 	if zone == nil {
 		return nil, model.ReasonNone
 	}
-	number, _ := zone.Table.LookupNumber(x.m.Fingerprint)
-	if s := x.view.ByNumber[view.ServerRef{Service: x.service.id, Number: number}]; s != nil && x.mayTake(s, false) {
-		return s, model.ReasonTableChoice
+	if choice != nil && x.mayTake(choice, false) {
+		return choice, model.ReasonTableChoice
 	}
 	var best *view.Server
 	bestScore := -1.0
@@ -160,29 +160,26 @@
 	return best, model.ReasonAlternative
 }
 
-// ownZone returns the table of the instance's zone, or nil.
-func (x *transit) ownZone() *table.ZoneTable {
+// tableChoice returns the table of the instance's zone and its choice for the
+// flow; nil if there is none.
+func (x *transit) tableChoice() (*table.ZoneTable, *view.Server) {
 	g := x.service.history.Current()
 	if g == nil {
-		return nil
+		return nil, nil
 	}
 	for i := range g.Zones {
-		if g.Zones[i].Zone == x.view.Self.Zone {
-			return &g.Zones[i]
+		zone := &g.Zones[i]
+		if zone.Zone == x.view.Self.Zone {
+			number, _ := zone.Table.LookupNumber(x.m.Fingerprint)
+			return zone, x.view.ByNumber[view.ServerRef{Service: x.service.id, Number: number}]
 		}
 	}
-	return nil
+	return nil, nil
 }
 
-// homeOfChoice returns the instance that alone may open flows on the table's
-// choice, if it is another one.
-func (x *transit) homeOfChoice() *model.Member {
-	zone := x.ownZone()
-	if zone == nil {
-		return nil
-	}
-	number, _ := zone.Table.LookupNumber(x.m.Fingerprint)
-	server := x.view.ByNumber[view.ServerRef{Service: x.service.id, Number: number}]
+// homeOf returns the instance that alone may open flows on a server, if it is
+// another one.
+func (x *transit) homeOf(server *view.Server) *model.Member {
 	if server == nil || server.State != model.ServerActive || server.Warmth == view.Failed {
 		return nil
 	}
--- a/internal/core/flow/learn.go
+++ b/internal/core/flow/learn.go
@@ -137,7 +137,7 @@
 	r.word |= flagException | flagSent // its owner has it
 	if counted {
 		r.word |= flagCounted
-		s.connections[view.ServerRef{Service: r.service(), Number: r.server}]++
+		s.connections[r.ref()]++
 	}
 	return true
 }
--- a/internal/core/flow/promises_test.go
+++ b/internal/core/flow/promises_test.go
@@ -161,6 +161,25 @@
 	require.Zero(t, f.totalBroken(), strings.Join(f.brokenTrace, "\n"))
 }
 
+// Guards against a connection that stays counted at the home of a cold server,
+// because the flow was established and closed by one packet.
+func TestColdStartFlowClosedByItsSecondPacketIsFreed(t *testing.T) {
+	f := newFleet(3, map[model.Zone]int{"a": 3}, map[model.Zone]int{"a": 1}, 1)
+	server := f.config.Services[0].Servers[0]
+	f.cold[server.ID] = true
+	f.spread(0)
+	f.step(time.Second)
+	allowance := int(server.Connections / 64)
+	for range 2 * allowance {
+		c := f.open(0, time.Hour)
+		c.closing = true
+		f.send(c)
+		c.ended = true
+		f.step(10 * time.Millisecond)
+	}
+	require.Equal(t, 2*allowance, f.newFlows[server.ID])
+}
+
 // openAll opens flows one after another.
 func (f *fleet) openAll(n int, gap time.Duration) {
 	for range n {
--- a/internal/core/flow/records.go
+++ b/internal/core/flow/records.go
@@ -6,6 +6,7 @@
 	"unsafe"
 
 	"github.com/savorytiller/savorytiller/internal/core/model"
+	"github.com/savorytiller/savorytiller/internal/core/view"
 )
 
 // role says what a record is good for.
@@ -67,7 +68,11 @@
 func (r *record) role() role               { return role(r.word & roleMask >> roleShift) }
 func (r *record) setRole(x role)           { r.word = r.word&^roleMask | uint32(x)<<roleShift }
 func (r *record) service() model.ServiceID { return model.ServiceID(r.word & serviceMask) }
-func (r *record) has(flag uint32) bool     { return r.word&flag != 0 }
+
+// ref names the server of the flow.
+func (r *record) ref() view.ServerRef { return view.ServerRef{Service: r.service(), Number: r.server} }
+
+func (r *record) has(flag uint32) bool { return r.word&flag != 0 }
 
 // counted reports whether a record uses a connection of its server. A flow that
 // the caller has closed does not: its record stays for ClosingTimeout, but the
--- a/internal/core/flow/shard.go
+++ b/internal/core/flow/shard.go
@@ -237,7 +237,7 @@
 
 // server returns the server of a record, or nil.
 func (s *Shard) server(r *record) *view.Server {
-	return s.view.ByNumber[view.ServerRef{Service: r.service(), Number: r.server}]
+	return s.view.ByNumber[r.ref()]
 }
 
 // early reports whether a copy's server may come with the next note.
@@ -292,7 +292,7 @@
 
 // release takes a record out of the counts.
 func (s *Shard) release(r *record) {
-	ref := view.ServerRef{Service: r.service(), Number: r.server}
+	ref := r.ref()
 	if r.counted() {
 		s.uncount(ref)
 	}
@@ -323,7 +323,7 @@
 	r.word &^= flagCounted | flagSent
 	r.setRole(as)
 	if r.counted() {
-		s.connections[view.ServerRef{Service: r.service(), Number: r.server}]++
+		s.connections[r.ref()]++
 	} else {
 		s.passive++
 	}
--- a/internal/core/flow/transit.go
+++ b/internal/core/flow/transit.go
@@ -89,8 +89,8 @@
 		r.setCounter(0)
 		r.extra = r.extra&^0xffff | ack
 		x.d.Observed = Observation{Kind: ObservedEstablished, Server: server.ID}
-		if home := x.route(x.service, x.now).home(server); home != nil {
-			x.d.tell(home.FlowAddress, Envelope{Kind: KindEstablished, Server: r.server})
+		if !r.has(flagClosing) {
+			x.tellHome(r, server, KindEstablished)
 		}
 	case !r.has(flagProgress) && r.extra&0xffff != ack:
 		r.word |= flagProgress
@@ -105,9 +105,14 @@
 		return
 	}
 	r.word |= flagClosing
-	x.uncount(view.ServerRef{Service: r.service(), Number: r.server})
+	x.uncount(r.ref())
+	x.tellHome(r, server, KindClosed)
+}
+
+// tellHome tells the home of a cold server what became of a flow on it.
+func (x *transit) tellHome(r *record, server *view.Server, kind Kind) {
 	if home := x.route(x.service, x.now).home(server); home != nil {
-		x.d.tell(home.FlowAddress, Envelope{Kind: KindClosed, Server: r.server})
+		x.d.tell(home.FlowAddress, Envelope{Kind: kind, Server: r.server})
 	}
 }
 
@@ -226,7 +231,7 @@
 			return false
 		}
 		r.word &^= flagClosing | flagEstablish | flagProgress
-		x.connections[view.ServerRef{Service: r.service(), Number: r.server}]++
+		x.connections[r.ref()]++
 		r.setCounter(0)
 		r.touch(x.tick)
 		x.d.deliver(server, model.ReasonKnownFlow)
--- a/internal/core/health/health.go
+++ b/internal/core/health/health.go
@@ -115,7 +115,7 @@
 }
 
 func (t *Table) reset(now model.Time, s *server) {
-	if s.record.Warm || s.record.WarmFlows {
+	if s.record.partlyWarm() {
 		s.quiet = now.Add(ColdQuiet)
 	}
 	if s.record.Warm || s.record.Epoch > 0 {
@@ -155,7 +155,7 @@
 		return
 	}
 	s.home, s.homeFrom = home, now.Add(HomeWait)
-	if s.record.Warm || s.record.WarmFlows {
+	if s.record.partlyWarm() {
 		s.ramps = [2]ramp{}
 	} else {
 		s.cool()
@@ -181,7 +181,7 @@
 	s.note(true, count)
 	s.badRun = uint8(min(badInARow, uint32(s.badRun)+count))
 	switch {
-	case s.record.Warm || s.record.WarmFlows:
+	case s.record.partlyWarm():
 		if s.badRun >= badInARow || s.seen >= window && bits.OnesCount16(s.recent) >= badOfWindow {
 			t.demote(now, s)
 		}
@@ -277,7 +277,7 @@
 		if s.silent < badInARow || s.lastGood != 0 && now.Sub(s.lastGood) < outranks {
 			return
 		}
-		if s.record.Warm || s.record.WarmFlows {
+		if s.record.partlyWarm() {
 			t.demote(now, s)
 		}
 		// After a pause traffic tries the server for a while, whatever the
@@ -295,7 +295,7 @@
 		next.Draining = draining
 		t.update(s, next)
 	}
-	if r.State == EndpointCold && (s.record.Warm || s.record.WarmFlows) && (s.lastAny == 0 || now.Sub(s.lastAny) > outranks) {
+	if r.State == EndpointCold && s.record.partlyWarm() && (s.lastAny == 0 || now.Sub(s.lastAny) > outranks) {
 		t.demote(now, s)
 	}
 }
--- a/internal/core/health/ramp.go
+++ b/internal/core/health/ramp.go
@@ -89,6 +89,9 @@
 	return r.Warm
 }
 
+// partlyWarm reports whether instances other than the home use the server.
+func (r *Record) partlyWarm() bool { return r.Warm || r.WarmFlows }
+
 // warmed returns the next record of a server that is warm for a unit as well.
 func (r Record) warmed(unit Unit) Record {
 	r.Epoch++
