Carry flows on the users' platform by tokens in their packets

The platform's packets return a word that the system may write, so a packet can name its server and no instance needs another one's flow state. core/steering decides where a flow begins and what its callers' packets show of servers; core/catalog merges listings and changes of the store; control/registry follows the store; traffic/packets carries packets; platform/ decodes and encodes; cmd/savorysteer is the program.

--- /dev/null
+++ b/cmd/savorysteer/main.go
@@ -0,0 +1,87 @@
+// Command savorysteer is the instance of the load balancer on platforms whose
+// packets carry a token of their backend server.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kong"
+
+	"github.com/savorytiller/savorytiller/internal/adapter/logging"
+	"github.com/savorytiller/savorytiller/internal/adapter/settings"
+	"github.com/savorytiller/savorytiller/internal/app/steer"
+	"github.com/savorytiller/savorytiller/internal/port"
+	"github.com/savorytiller/savorytiller/platform"
+)
+
+// Exit codes besides 0.
+const (
+	// exitFailed means that the instance could not start or a part failed.
+	exitFailed = 1
+	// exitUsage means wrong flags or settings.
+	exitUsage = 2
+)
+
+// connectLimit bounds an attempt to connect to the registry.
+const connectLimit = 700 * time.Millisecond
+
+// flushLimit bounds the wait for the last log lines.
+const flushLimit = 100 * time.Millisecond
+
+type flags struct {
+	Config string `help:"Settings file (TOML)." env:"SAVORYTILLER_BOOT" required:"" placeholder:"FILE"`
+	Check  bool   `help:"Check the settings, print every problem and exit without opening a socket."`
+}
+
+func main() {
+	var f flags
+	parser := kong.Must(&f, kong.Name("savorysteer"),
+		kong.Description("Instance of the savorytiller load balancer for packets with tokens. SIGTERM starts a "+
+			"graceful stop. Exit codes: 0 done, 1 failed, 2 wrong flags or settings."))
+	if _, err := parser.Parse(os.Args[1:]); err != nil {
+		fmt.Fprintln(os.Stderr, "savorysteer:", err)
+		os.Exit(exitUsage)
+	}
+	os.Exit(run(f))
+}
+
+func run(f flags) int {
+	s, err := settings.LoadSteer(f.Config)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitUsage
+	}
+	if f.Check {
+		fmt.Printf("%s: settings of instance %s are valid\n", f.Config, s.Instance.ID)
+		return 0
+	}
+	out := logging.NewBoundedWriter(os.Stdout, logging.DefaultBudget)
+	defer out.Close(flushLimit)
+	logs, err := logging.New(out, s.Log.Level)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitUsage
+	}
+	leave, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	signal.Ignore(syscall.SIGHUP)
+	instance, err := steer.New(s, steer.Platform{
+		Codec: func(s *settings.Steer) port.PacketCodec {
+			return platform.PacketCodec{CallerPort: s.Listen.Flows.Port()}
+		},
+		Registry: func(s *settings.Steer) port.Registry { return platform.NewStore(s.Registry.Address, connectLimit) },
+	}, logs)
+	if err == nil {
+		err = instance.Run(leave)
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitFailed
+	}
+	return 0
+}
--- a/internal/adapter/settings/fields.go
+++ b/internal/adapter/settings/fields.go
@@ -14,7 +14,7 @@
 )
 
 // field describes one key: where its value goes and what is allowed.
-type field struct {
+type field[S any] struct {
 	key      string
 	allowed  string
 	required bool
@@ -22,11 +22,11 @@
 	// the zero value.
 	byDefault any
 	// set stores a value and reports whether it is allowed.
-	set func(s *Settings, value any) bool
+	set func(s *S, value any) bool
 }
 
 // fields is the whole list of keys outside [[peer_keys]].
-var fields = []field{
+var fields = []field[Settings]{
 	name("instance.id", func(s *Settings, v string) { s.Instance.ID = model.InstanceID(v) }),
 	name("instance.zone", func(s *Settings, v string) { s.Instance.Zone = model.Zone(v) }),
 
@@ -55,10 +55,7 @@
 	milliseconds("shutdown.notice_ms", 2000, 0, 60_000, func(s *Settings) *time.Duration { return &s.Shutdown.Notice }),
 	milliseconds("shutdown.drain_ms", 30_000, 100, 600_000, func(s *Settings) *time.Duration { return &s.Shutdown.Drain }),
 
-	{key: "log.level", allowed: "one of debug, info, error", byDefault: "info", set: func(s *Settings, v any) bool {
-		s.Log.Level, _ = v.(string)
-		return slices.Contains([]string{"debug", "info", "error"}, s.Log.Level)
-	}},
+	logLevel(func(s *Settings) *string { return &s.Log.Level }),
 	number("metrics.decisions", 1024, 16, 65_536, func(s *Settings) *int { return &s.Metrics.Decisions }),
 }
 
@@ -66,21 +63,21 @@
 // part of URLs, log lines and hash inputs.
 var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9.-]{0,62}[a-z0-9])?$`)
 
-func name(key string, store func(s *Settings, v string)) field {
-	return field{key: key, allowed: "1 to 64 characters a-z, 0-9, '-' and '.', no '-' or '.' at either end",
-		required: true, set: func(s *Settings, v any) bool {
+func name[S any](key string, store func(s *S, v string)) field[S] {
+	return field[S]{key: key, allowed: "1 to 64 characters a-z, 0-9, '-' and '.', no '-' or '.' at either end",
+		required: true, set: func(s *S, v any) bool {
 			text, ok := v.(string)
 			store(s, text)
 			return ok && namePattern.MatchString(text)
 		}}
 }
 
-func address(key string, required bool, target func(s *Settings) *netip.AddrPort) field {
+func address[S any](key string, required bool, target func(s *S) *netip.AddrPort) field[S] {
 	allowed := "an IP number and a port, for example 127.0.0.1:4101; port 0 lets the system choose"
 	if !required {
 		allowed = "an IP number that peers can reach and a port; port 0 means the port listened on"
 	}
-	return field{key: key, allowed: allowed, required: required, set: func(s *Settings, v any) bool {
+	return field[S]{key: key, allowed: allowed, required: required, set: func(s *S, v any) bool {
 		text, _ := v.(string)
 		parsed, err := netip.ParseAddrPort(text)
 		*target(s) = parsed
@@ -88,9 +85,9 @@
 	}}
 }
 
-func number[T int | int64](key string, byDefault, lo, hi int64, target func(s *Settings) *T) field {
-	return field{key: key, allowed: fmt.Sprintf("%d to %d", lo, hi), byDefault: byDefault,
-		set: func(s *Settings, v any) bool {
+func number[S any, T int | int64](key string, byDefault, lo, hi int64, target func(s *S) *T) field[S] {
+	return field[S]{key: key, allowed: fmt.Sprintf("%d to %d", lo, hi), byDefault: byDefault,
+		set: func(s *S, v any) bool {
 			n, ok := v.(int64)
 			if !ok || n < lo || n > hi || n > math.MaxInt {
 				return false
@@ -100,11 +97,11 @@
 		}}
 }
 
-func milliseconds(key string, byDefault, lo, hi int64, target func(s *Settings) *time.Duration) field {
-	f := number(key, byDefault, lo, hi, func(s *Settings) *int64 { return (*int64)(target(s)) })
+func milliseconds[S any](key string, byDefault, lo, hi int64, target func(s *S) *time.Duration) field[S] {
+	f := number(key, byDefault, lo, hi, func(s *S) *int64 { return (*int64)(target(s)) })
 	f.allowed += " ms"
 	inner := f.set
-	f.set = func(s *Settings, v any) bool {
+	f.set = func(s *S, v any) bool {
 		if !inner(s, v) {
 			return false
 		}
@@ -114,6 +111,14 @@
 	return f
 }
 
+func logLevel[S any](target func(s *S) *string) field[S] {
+	return field[S]{key: "log.level", allowed: "one of debug, info, error", byDefault: "info", set: func(s *S, v any) bool {
+		level := target(s)
+		*level, _ = v.(string)
+		return slices.Contains([]string{"debug", "info", "error"}, *level)
+	}}
+}
+
 func setPlatformURL(s *Settings, v any) bool {
 	text, _ := v.(string)
 	s.Platform.URL = strings.TrimSuffix(text, "/")
--- a/internal/adapter/settings/load.go
+++ b/internal/adapter/settings/load.go
@@ -48,19 +48,42 @@
 // Is reports whether the target is ErrInvalid.
 func (e *InvalidError) Is(target error) bool { return target == ErrInvalid }
 
-// Load reads and checks a settings file. The error is ErrUnreadable, or an
-// InvalidError with every problem of the file.
-func Load(path string) (*Settings, error) {
+// Load reads and checks the settings file of an instance. The error is
+// ErrUnreadable, or an InvalidError with every problem of the file.
+func Load(path string) (*Settings, error) { return load(path, Parse) }
+
+func load[S any](path string, parse func(file string, data []byte) (*S, error)) (*S, error) {
 	data, err := os.ReadFile(path)
 	if err != nil {
 		return nil, merry.Wrap(ErrUnreadable, merry.WithCause(err), merry.AppendMessage(err.Error()))
 	}
-	return Parse(path, data)
+	return parse(path, data)
 }
 
 // Parse checks the contents of a settings file. The file name is used in
 // messages only.
 func Parse(file string, data []byte) (*Settings, error) {
+	p, err := newParser(file, data, fields, "docs/operators.md")
+	if err != nil {
+		return nil, err
+	}
+	p.settings.PeerKeys = p.peerKeys()
+	p.fields()
+	combinations(p)
+	return p.result()
+}
+
+type parser[S any] struct {
+	file     string
+	known    []field[S]
+	manual   string // page that lists the keys
+	settings *S
+	values   map[string]any // by dotted key, without the ones already used
+	problems []Problem
+}
+
+// newParser reads the TOML syntax of a file.
+func newParser[S any](file string, data []byte, known []field[S], manual string) (*parser[S], error) {
 	tree := map[string]any{}
 	if err := toml.Unmarshal(data, &tree); err != nil {
 		at := "syntax"
@@ -71,11 +94,13 @@
 		}
 		return nil, &InvalidError{Problems: []Problem{{file, at, err.Error(), "TOML 1.0"}}}
 	}
-	p := &parser{file: file, settings: &Settings{}, values: map[string]any{}}
+	p := &parser[S]{file: file, known: known, manual: manual, settings: new(S), values: map[string]any{}}
 	p.flatten("", tree)
-	p.peerKeys()
-	p.fields()
-	p.combinations()
+	return p, nil
+}
+
+// result returns the settings, or all problems.
+func (p *parser[S]) result() (*S, error) {
 	p.unknown()
 	if len(p.problems) > 0 {
 		return nil, &InvalidError{Problems: p.problems}
@@ -83,24 +108,17 @@
 	return p.settings, nil
 }
 
-type parser struct {
-	file     string
-	settings *Settings
-	values   map[string]any // by dotted key, without the ones already used
-	problems []Problem
-}
-
-func (p *parser) problem(key, got, allowed string) {
+func (p *parser[S]) problem(key, got, allowed string) {
 	p.problems = append(p.problems, Problem{p.file, key, got, allowed})
 }
 
 // flatten collects the values under their dotted keys.
-func (p *parser) flatten(prefix string, tree map[string]any) {
+func (p *parser[S]) flatten(prefix string, tree map[string]any) {
 	for key, value := range tree {
 		if sub, ok := value.(map[string]any); ok && len(sub) > 0 {
 			p.flatten(prefix+key+".", sub)
 			continue
-		} else if ok && isTable(prefix+key) {
+		} else if ok && p.isTable(prefix+key) {
 			continue
 		}
 		p.values[prefix+key] = value
@@ -108,8 +126,8 @@
 }
 
 // isTable reports whether the key is a table of the settings.
-func isTable(key string) bool {
-	for _, f := range fields {
+func (p *parser[S]) isTable(key string) bool {
+	for _, f := range p.known {
 		if strings.HasPrefix(f.key, key+".") {
 			return true
 		}
@@ -117,8 +135,8 @@
 	return false
 }
 
-func (p *parser) fields() {
-	for _, f := range fields {
+func (p *parser[S]) fields() {
+	for _, f := range p.known {
 		value, given := p.values[f.key]
 		delete(p.values, f.key)
 		switch {
@@ -144,7 +162,7 @@
 
 var keySecretPattern = regexp.MustCompile(`^[!-~]{32,128}$`)
 
-func (p *parser) peerKeys() {
+func (p *parser[S]) peerKeys() (keys []PeerKey) {
 	value, given := p.values["peer_keys"]
 	delete(p.values, "peer_keys")
 	list, ok := value.([]any)
@@ -174,12 +192,13 @@
 				p.problem(prefix+"."+key, "unknown key", allowedKeyTable)
 			}
 		}
-		p.settings.PeerKeys = append(p.settings.PeerKeys, PeerKey{ID: uint8(id), Secret: []byte(secret)})
+		keys = append(keys, PeerKey{ID: uint8(id), Secret: []byte(secret)})
 	}
+	return keys
 }
 
 // combinations checks values that depend on each other.
-func (p *parser) combinations() {
+func combinations(p *parser[Settings]) {
 	s := p.settings
 	if s.Shutdown.Notice >= s.Shutdown.Drain && s.Shutdown.Drain > 0 {
 		p.problem("shutdown.notice_ms", fmt.Sprintf("got %d", s.Shutdown.Notice.Milliseconds()),
@@ -205,13 +224,13 @@
 }
 
 // unknown reports the keys that no field used.
-func (p *parser) unknown() {
+func (p *parser[S]) unknown() {
 	keys := make([]string, 0, len(p.values))
 	for key := range p.values {
 		keys = append(keys, key)
 	}
 	sort.Strings(keys)
 	for _, key := range keys {
-		p.problem(key, "unknown key", "the keys listed in docs/operators.md")
+		p.problem(key, "unknown key", "the keys listed in "+p.manual)
 	}
 }
--- /dev/null
+++ b/internal/adapter/settings/steer.go
@@ -0,0 +1,72 @@
+package settings
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/savorytiller/savorytiller/internal/core/model"
+)
+
+// Steer are the settings of an instance that steers flows by the tokens in
+// their packets.
+type Steer struct {
+	Instance Instance
+	Listen   SteerAddresses
+	Registry Registry
+	Bounds   Bounds
+	Log      Log
+}
+
+// SteerAddresses are the endpoints of the instance.
+type SteerAddresses struct {
+	// Flows gets the callers' packets; callers get packets at the same port.
+	Flows netip.AddrPort
+	// Readiness answers whether the instance takes new flows.
+	Readiness netip.AddrPort
+	// Metrics serves counters and histograms; optional.
+	Metrics netip.AddrPort
+}
+
+// Registry says where operators and backend servers publish.
+type Registry struct {
+	Address netip.AddrPort
+}
+
+// Bounds are the times that the platform prescribes.
+type Bounds struct {
+	// FlowLifetime is how long a flow may stay open.
+	FlowLifetime time.Duration
+	// StopGrace is the time from SIGTERM to SIGKILL.
+	StopGrace time.Duration
+	// ColdMargin is the number of new flows a second that a cold server bears
+	// beside its rate.
+	ColdMargin int
+}
+
+var steerFields = []field[Steer]{
+	name("instance.id", func(s *Steer, v string) { s.Instance.ID = model.InstanceID(v) }),
+	name("instance.zone", func(s *Steer, v string) { s.Instance.Zone = model.Zone(v) }),
+	address("listen.flows", true, func(s *Steer) *netip.AddrPort { return &s.Listen.Flows }),
+	address("listen.readiness", true, func(s *Steer) *netip.AddrPort { return &s.Listen.Readiness }),
+	address("listen.metrics", false, func(s *Steer) *netip.AddrPort { return &s.Listen.Metrics }),
+	address("registry.address", true, func(s *Steer) *netip.AddrPort { return &s.Registry.Address }),
+	milliseconds("bounds.flow_lifetime_ms", 60_000, 1000, 86_400_000, func(s *Steer) *time.Duration { return &s.Bounds.FlowLifetime }),
+	milliseconds("bounds.stop_grace_ms", 6000, 100, 600_000, func(s *Steer) *time.Duration { return &s.Bounds.StopGrace }),
+	number("bounds.cold_margin", 5, 0, 1000, func(s *Steer) *int { return &s.Bounds.ColdMargin }),
+	logLevel(func(s *Steer) *string { return &s.Log.Level }),
+}
+
+// LoadSteer reads and checks the settings file of a steering instance. The error
+// is ErrUnreadable, or an InvalidError with every problem of the file.
+func LoadSteer(path string) (*Steer, error) { return load(path, ParseSteer) }
+
+// ParseSteer checks the contents of a settings file. The file name is used in
+// messages only.
+func ParseSteer(file string, data []byte) (*Steer, error) {
+	p, err := newParser(file, data, steerFields, "docs/OPERATIONS.md")
+	if err != nil {
+		return nil, err
+	}
+	p.fields()
+	return p.result()
+}
--- /dev/null
+++ b/internal/adapter/udp/udp.go
@@ -0,0 +1,53 @@
+// Package udp carries datagrams over one UDP socket.
+package udp
+
+import (
+	"net"
+	"net/netip"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/savorytiller/savorytiller/internal/port"
+)
+
+// receiveBuffer is the size in bytes of the kernel's queue of datagrams: half a
+// second at 1,000 large packets a second.
+const receiveBuffer = 1 << 20
+
+// Socket implements port.PacketSocket.
+type Socket struct {
+	conn *net.UDPConn
+}
+
+var _ port.PacketSocket = (*Socket)(nil)
+
+// Listen opens a socket at an IPv4 address.
+func Listen(at netip.AddrPort) (*Socket, error) {
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(at))
+	if err != nil {
+		return nil, merry.Wrap(port.ErrUnavailable, merry.WithCause(err), merry.AppendMessage(err.Error()))
+	}
+	// A smaller queue than asked for only drops packets earlier.
+	_ = conn.SetReadBuffer(receiveBuffer)
+	return &Socket{conn: conn}, nil
+}
+
+// Address returns the address that the socket has.
+func (s *Socket) Address() netip.AddrPort { return s.conn.LocalAddr().(*net.UDPAddr).AddrPort() }
+
+// Receive implements port.PacketSocket.
+func (s *Socket) Receive(buffer []byte) (int, error) {
+	n, _, err := s.conn.ReadFromUDPAddrPort(buffer)
+	return n, err
+}
+
+// SendPacket implements port.PacketSocket.
+func (s *Socket) SendPacket(to netip.AddrPort, packet []byte) error {
+	if _, err := s.conn.WriteToUDPAddrPort(packet, to); err != nil {
+		return merry.Wrap(port.ErrUnavailable, merry.WithCause(err))
+	}
+	return nil
+}
+
+// Close implements port.PacketSocket.
+func (s *Socket) Close() error { return s.conn.Close() }
--- /dev/null
+++ b/internal/app/steer/instance.go
@@ -0,0 +1,177 @@
+// Package steer assembles an instance that steers flows by the tokens in their
+// packets, and runs it from its start to its graceful end.
+package steer
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/go-logr/logr"
+
+	"github.com/savorytiller/savorytiller/internal/adapter/clock"
+	"github.com/savorytiller/savorytiller/internal/adapter/logging"
+	"github.com/savorytiller/savorytiller/internal/adapter/metrics"
+	"github.com/savorytiller/savorytiller/internal/adapter/readiness"
+	"github.com/savorytiller/savorytiller/internal/adapter/settings"
+	"github.com/savorytiller/savorytiller/internal/adapter/udp"
+	"github.com/savorytiller/savorytiller/internal/control/registry"
+	"github.com/savorytiller/savorytiller/internal/core/catalog"
+	"github.com/savorytiller/savorytiller/internal/core/steering"
+	"github.com/savorytiller/savorytiller/internal/port"
+	"github.com/savorytiller/savorytiller/internal/traffic/packets"
+)
+
+// Times of an instance.
+const (
+	// defaultIdleTimeout holds until a configuration is known.
+	defaultIdleTimeout = 15 * time.Second
+	// stopMargin is the part of the grace that is left unused, for timers that
+	// fire late.
+	stopMargin = 600 * time.Millisecond
+	// stopLeast is how long the instance serves at least after it was told to
+	// stop: two missed readiness checks, half a second apart, turn traffic away.
+	stopLeast = 1500 * time.Millisecond
+	// stopQuiet is the time without packets that shows that traffic has moved.
+	stopQuiet = 500 * time.Millisecond
+	// stopPoll is the time between two looks at the traffic.
+	stopPoll = 100 * time.Millisecond
+	// endLimit bounds the wait for the parts after everything was closed.
+	endLimit = 300 * time.Millisecond
+)
+
+// decisionsKept is the number of decisions in memory for each part.
+const decisionsKept = 256
+
+// ErrPartEnded means that a part ended while the instance was to run.
+var ErrPartEnded = merry.Sentinel("a part has ended")
+
+// Platform makes the adapters of the platform that an instance runs on.
+type Platform struct {
+	Codec func(*settings.Steer) port.PacketCodec
+	// Registry returns the client of the registry at the settings' address.
+	Registry func(*settings.Steer) port.Registry
+}
+
+// Instance is an assembled instance that is not running yet.
+type Instance struct {
+	settings *settings.Steer
+	log      logr.Logger
+	clock    *clock.System
+	recorder *metrics.Recorder
+	control  *registry.Control
+	worker   *packets.Worker
+	listener net.Listener
+	ready    *http.Server
+	leaving  atomic.Bool
+}
+
+// New opens the sockets and assembles the instance.
+func New(s *settings.Steer, p Platform, logs *logging.Logs) (*Instance, error) {
+	i := &Instance{settings: s, log: logs.Part("instance"), clock: clock.NewSystem(), recorder: metrics.New(decisionsKept)}
+	seed := rand.Uint64() // instances must not choose in step
+	var err error
+	i.control, err = registry.New(registry.Options{Zone: s.Instance.Zone, Clock: i.clock, Registry: p.Registry(s),
+		Catalog: catalog.Settings{Lifetime: s.Bounds.FlowLifetime, DefaultIdleTimeout: defaultIdleTimeout},
+		Log:     logs.Part("registry"), Seed: seed})
+	if err != nil {
+		return nil, err
+	}
+	socket, err := udp.Listen(s.Listen.Flows)
+	if err != nil {
+		return nil, merry.Prepend(err, "listen.flows")
+	}
+	if i.listener, err = net.Listen("tcp4", s.Listen.Readiness.String()); err != nil {
+		_ = socket.Close() // the error of the listener is the one to report
+		return nil, merry.Prepend(err, "listen.readiness")
+	}
+	i.worker = packets.New(packets.Options{Socket: socket, Codec: p.Codec(s), Snapshots: i.control, Clock: i.clock,
+		Recorder: i.recorder, Log: logs.Part("flow"),
+		Steerer: steering.NewSteerer(rand.New(rand.NewPCG(seed, 1)))})
+	i.ready = readiness.Server(i.Ready)
+	return i, nil
+}
+
+// Ready reports whether the instance takes new flows.
+func (i *Instance) Ready() bool { return !i.leaving.Load() && i.control.Snapshot() != nil }
+
+// part is a piece of the instance that runs until its context ends.
+type part struct {
+	name string
+	run  func(ctx context.Context) error
+}
+
+// Run serves until leave ends, then shuts down gracefully and returns nil.
+func (i *Instance) Run(leave context.Context) error {
+	ctx, cancel := context.WithCancel(context.WithoutCancel(leave))
+	parts := []part{
+		{"control", i.control.Run},
+		{"traffic", i.worker.Run},
+		{"readiness", func(context.Context) error { return readiness.Serve(i.ready, i.listener) }},
+	}
+	ended := make(chan error, len(parts))
+	var group sync.WaitGroup
+	for _, p := range parts {
+		group.Go(func() {
+			err := p.run(ctx)
+			if ctx.Err() == nil {
+				ended <- merry.Wrap(ErrPartEnded, merry.WithCause(err), merry.AppendMessagef("%s: %v", p.name, err))
+			}
+		})
+	}
+	i.log.Info("started", "id", i.settings.Instance.ID, "zone", i.settings.Instance.Zone,
+		"flows", i.settings.Listen.Flows.String(), "registry", i.settings.Registry.Address.String())
+	var err error
+	select {
+	case err = <-ended:
+		i.log.Error(err, "stops")
+	case <-leave.Done():
+		err = i.shutDown(ended)
+	}
+	cancel()
+	_ = i.ready.Close() // the process ends, so the error has no consequence
+	waitFor(&group, endLimit)
+	i.log.Info("stopped")
+	return err
+}
+
+// shutDown turns new traffic away and serves what still arrives, until traffic
+// has moved to other instances or the grace ends.
+func (i *Instance) shutDown(ended <-chan error) error {
+	i.leaving.Store(true)
+	begun := i.clock.Now()
+	i.log.Info("told to stop, serving until traffic has moved")
+	ticker := time.NewTicker(stopPoll)
+	defer ticker.Stop()
+	for {
+		select {
+		case err := <-ended:
+			return err
+		case <-ticker.C:
+		}
+		now := i.clock.Now()
+		since := now.Sub(begun)
+		quiet := now.Sub(max(i.worker.LastPacket(), begun))
+		if since >= i.settings.Bounds.StopGrace-stopMargin || since >= stopLeast && quiet >= stopQuiet {
+			i.log.Info("traffic has ended", "after_ms", since.Milliseconds(), "quiet_ms", quiet.Milliseconds())
+			return nil
+		}
+	}
+}
+
+// waitFor waits for a group, at most for the limit.
+func waitFor(group *sync.WaitGroup, limit time.Duration) {
+	done := make(chan struct{})
+	go func() { group.Wait(); close(done) }()
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	select {
+	case <-done:
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/internal/control/registry/control.go
@@ -0,0 +1,117 @@
+// Package registry runs the control goroutine of instances that steer flows by
+// tokens. It follows the registry in which operators and backend servers
+// publish, and publishes immutable snapshots for the traffic goroutines.
+//
+// The decisions are in machine, which is driven by events and returns effects,
+// and in core/catalog. Control runs the effects in short-lived goroutines that
+// own nothing and post their results as events.
+package registry
+
+import (
+	"context"
+	"runtime"
+	"sync/atomic"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/go-logr/logr"
+
+	"github.com/savorytiller/savorytiller/internal/core/catalog"
+	"github.com/savorytiller/savorytiller/internal/core/model"
+	"github.com/savorytiller/savorytiller/internal/core/steering"
+	"github.com/savorytiller/savorytiller/internal/port"
+)
+
+// eventQueue bounds the events that wait. Each effect posts one event, and only
+// a few effects run at a time.
+const eventQueue = 256
+
+// Options configure a Control. All are required but Log.
+type Options struct {
+	Zone     model.Zone
+	Clock    port.Clock
+	Registry port.Registry
+	Catalog  catalog.Settings
+	Log      logr.Logger
+	// Seed starts the random pauses, so that instances do not call in step.
+	Seed uint64
+}
+
+// Control follows the registry.
+type Control struct {
+	options  Options
+	machine  *machine
+	events   chan event
+	snapshot atomic.Pointer[steering.Snapshot]
+	counts   atomic.Pointer[Counts]
+	stopped  chan struct{}
+	// cancel ends the calls that run now.
+	calls  context.Context
+	cancel context.CancelFunc
+}
+
+// New checks the options and returns a Control that does not run yet.
+func New(o Options) (*Control, error) {
+	if o.Zone == "" || o.Clock == nil || o.Registry == nil || o.Catalog.Lifetime <= 0 {
+		return nil, merry.New("registry: zone, clock, registry and the lifetime of flows are required")
+	}
+	if o.Log.GetSink() == nil {
+		o.Log = logr.Discard()
+	}
+	return &Control{options: o, machine: newMachine(o), events: make(chan event, eventQueue),
+		stopped: make(chan struct{})}, nil
+}
+
+// Snapshot returns the newest snapshot; nil before the first one.
+func (c *Control) Snapshot() *steering.Snapshot { return c.snapshot.Load() }
+
+// Counts returns the counters, at most a snapshot old; nil before the first.
+func (c *Control) Counts() *Counts { return c.counts.Load() }
+
+// Run executes the control goroutine until ctx ends. It may be called once.
+func (c *Control) Run(ctx context.Context) error {
+	runtime.LockOSThread()
+	defer runtime.UnlockOSThread()
+	defer close(c.stopped)
+	c.calls, c.cancel = context.WithCancel(ctx)
+	defer func() { c.cancel() }()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		var e event
+		select {
+		case <-ctx.Done():
+			return nil
+		case e = <-c.events:
+		case <-timer.C:
+		}
+		now := c.options.Clock.Now()
+		c.machine.handle(now, e)
+		for _, f := range c.machine.takeEffects() {
+			c.execute(ctx, f)
+		}
+		if s := c.machine.takeSnapshot(); s != nil {
+			c.snapshot.Store(s)
+			counts := c.machine.counts
+			c.counts.Store(&counts)
+		}
+		timer.Reset(max(0, c.machine.next.Sub(now)))
+	}
+}
+
+// execute runs an effect in its own goroutine, which posts the result.
+func (c *Control) execute(ctx context.Context, f effect) {
+	if _, ok := f.(effCancel); ok {
+		c.cancel()
+		c.options.Registry.Reconnect()
+		c.calls, c.cancel = context.WithCancel(ctx)
+		return
+	}
+	calls := c.calls
+	go func() {
+		select {
+		case c.events <- f.run(calls, c.options.Registry):
+		case <-c.stopped:
+		}
+	}()
+}
--- /dev/null
+++ b/internal/core/catalog/catalog.go
@@ -0,0 +1,245 @@
+package catalog
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/savorytiller/savorytiller/internal/core/model"
+)
+
+// Times of the catalog.
+const (
+	// UnlistedGrace is how long a server that vanished from the registry without
+	// draining may still get new flows. Entries that expired while the registry
+	// was away return within about two seconds.
+	UnlistedGrace = 2 * time.Second
+	// ReturnWatch is how long the servers of a zone that returns to service count
+	// as cold until their own entries say so: two heartbeats of a server.
+	ReturnWatch = 2500 * time.Millisecond
+	// retainMargin keeps departed servers a little longer than their flows.
+	retainMargin = 10 * time.Second
+	// maxTombstones bounds the revisions kept of removed entries.
+	maxTombstones = 65_536
+)
+
+// Settings bound the flows and what the catalog keeps of departed servers.
+type Settings struct {
+	// Lifetime is how long a flow may stay open.
+	Lifetime time.Duration
+	// DefaultIdleTimeout holds while no configuration states one.
+	DefaultIdleTimeout time.Duration
+}
+
+// run identifies one run of a backend server.
+type run struct {
+	id      model.ServerID
+	started int64
+}
+
+// holding is what a listed key stands for: a run of a server, or a zone out of
+// service.
+type holding struct {
+	run  run
+	zone model.Zone
+}
+
+// server is the belief about one run of a backend server.
+type server struct {
+	entry     ServerEntry
+	coldUntil model.Time
+	// unlisted is since when the registry does not hold the run; 0 if it does.
+	unlisted model.Time
+	// replaced is set if the same server started again.
+	replaced bool
+}
+
+// Catalog merges what the registry and other instances say. It has one owner.
+type Catalog struct {
+	settings Settings
+	config   *Configuration
+	// revisions holds the newest revision of each key, removed ones included.
+	revisions map[string]uint64
+	tombs     int
+	listed    map[string]holding
+	servers   map[run]*server
+	withdrawn map[model.Zone]bool
+	// returned is when a zone came back into service.
+	returned map[model.Zone]model.Time
+	// contact is since when the registry is reachable without a gap; 0 while it
+	// is not.
+	contact model.Time
+	changed bool
+}
+
+// New returns an empty catalog.
+func New(s Settings) *Catalog {
+	return &Catalog{settings: s, revisions: map[string]uint64{}, listed: map[string]holding{},
+		servers: map[run]*server{}, withdrawn: map[model.Zone]bool{}, returned: map[model.Zone]model.Time{}}
+}
+
+// Effect says what an entry changed.
+type Effect uint8
+
+// Effects of entries.
+const (
+	// Unchanged means that the entry is old or repeats what is known.
+	Unchanged Effect = iota
+	// ConfigurationInForce means that a newer configuration is in force.
+	ConfigurationInForce
+	// ServerListed means that a server is new or its entry differs.
+	ServerListed
+	// ServerRemoved means that the registry no longer lists a server.
+	ServerRemoved
+	// ZoneWithdrawn and ZoneReturned are about zones out of service.
+	ZoneWithdrawn
+	ZoneReturned
+	// Ignored means that the value can't be used; the last good one holds.
+	Ignored
+)
+
+// Apply takes one entry. Entries with a revision that is not newer than the one
+// known of their key change nothing, so listings and watches may overlap.
+func (c *Catalog) Apply(now model.Time, e *Entry) Effect {
+	if known, ok := c.revisions[e.Key]; ok && e.Revision <= known {
+		return Unchanged
+	}
+	c.revisions[e.Key] = e.Revision
+	effect := c.apply(now, e)
+	c.changed = c.changed || effect != Unchanged && effect != Ignored
+	return effect
+}
+
+func (c *Catalog) apply(now model.Time, e *Entry) Effect {
+	switch {
+	case e.Removed:
+		return c.remove(now, e.Key)
+	case e.Config != nil:
+		if c.config != nil && e.Config.Version <= c.config.Version {
+			return Unchanged
+		}
+		c.config = e.Config
+		return ConfigurationInForce
+	case e.Server != nil:
+		return c.list(now, e.Key, e.Server)
+	case e.Withdrawn != "":
+		c.withdrawn[e.Withdrawn] = true
+		c.listed[e.Key] = holding{zone: e.Withdrawn}
+		return ZoneWithdrawn
+	default:
+		return Ignored
+	}
+}
+
+// list takes a server's entry.
+func (c *Catalog) list(now model.Time, key string, e *ServerEntry) Effect {
+	r := run{e.ID, e.Started}
+	if old, ok := c.listed[key]; ok && old.run != r {
+		c.unlist(now, old.run)
+		if s := c.servers[old.run]; s != nil {
+			s.replaced = true
+		}
+	}
+	c.listed[key] = holding{run: r}
+	s := c.servers[r]
+	if s == nil {
+		s = &server{}
+		c.servers[r] = s
+	}
+	s.entry, s.unlisted = *e, 0
+	s.coldUntil = 0
+	if e.ColdFor > 0 {
+		s.coldUntil = now.Add(e.ColdFor)
+	}
+	return ServerListed
+}
+
+func (c *Catalog) unlist(now model.Time, r run) {
+	if s := c.servers[r]; s != nil && s.unlisted == 0 {
+		s.unlisted = now
+	}
+}
+
+func (c *Catalog) remove(now model.Time, key string) Effect {
+	c.tombs++
+	h, ok := c.listed[key]
+	if !ok {
+		return Unchanged
+	}
+	delete(c.listed, key)
+	if h.zone != "" {
+		delete(c.withdrawn, h.zone)
+		c.returned[h.zone] = now
+		return ZoneReturned
+	}
+	c.unlist(now, h.run)
+	return ServerRemoved
+}
+
+// Missing returns removals of the keys that a complete listing does not hold,
+// although they were listed before its revision.
+func (c *Catalog) Missing(listing *Changes) []Entry {
+	present := make(map[string]bool, len(listing.Entries))
+	for i := range listing.Entries {
+		present[listing.Entries[i].Key] = true
+	}
+	var gone []Entry
+	for key := range c.listed {
+		if !present[key] && c.revisions[key] <= listing.Revision {
+			gone = append(gone, Entry{Key: key, Revision: max(listing.Revision, c.revisions[key]+1), Removed: true})
+		}
+	}
+	slices.SortFunc(gone, func(a, b Entry) int { return cmp.Compare(a.Key, b.Key) })
+	return gone
+}
+
+// SetContact says whether the registry is reachable.
+func (c *Catalog) SetContact(now model.Time, reachable bool) {
+	switch {
+	case !reachable:
+		c.contact = 0
+	case c.contact == 0:
+		c.contact = now
+	default:
+		return
+	}
+	c.changed = true
+}
+
+// vanishedAt returns from when on an unlisted server counts as gone: its entry
+// may have expired while the registry was away and returns if the server lives.
+// ok is false while the registry is unreachable.
+func (c *Catalog) vanishedAt(s *server) (at model.Time, ok bool) {
+	return max(s.unlisted, c.contact).Add(UnlistedGrace), c.contact != 0
+}
+
+// TakeChanged reports whether the belief changed since the last call.
+func (c *Catalog) TakeChanged() bool {
+	changed := c.changed
+	c.changed = false
+	return changed
+}
+
+// Complete reports whether a configuration and at least one server are known.
+func (c *Catalog) Complete() bool { return c.config != nil && len(c.servers) > 0 }
+
+// Config returns the configuration in force, or nil.
+func (c *Catalog) Config() *Configuration { return c.config }
+
+// Expire forgets departed servers whose flows are over and old removals.
+func (c *Catalog) Expire(now model.Time) {
+	for r, s := range c.servers {
+		if s.unlisted != 0 && now.Sub(s.unlisted) > c.settings.Lifetime+retainMargin {
+			delete(c.servers, r)
+			c.changed = true
+		}
+	}
+	if c.tombs > maxTombstones {
+		for key := range c.revisions {
+			if _, ok := c.listed[key]; !ok {
+				delete(c.revisions, key)
+			}
+		}
+		c.tombs = 0
+	}
+}
--- /dev/null
+++ b/internal/core/catalog/snapshot.go
@@ -0,0 +1,111 @@
+package catalog
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/savorytiller/savorytiller/internal/core/model"
+	"github.com/savorytiller/savorytiller/internal/core/steering"
+)
+
+// Fill builds the parts of a snapshot that come from the registry, and returns
+// when they change next without a new entry; 0 for never.
+func (c *Catalog) Fill(now model.Time, s *steering.Snapshot) model.Time {
+	b := builder{catalog: c, now: now}
+	s.IdleTimeout, s.Lifetime = c.settings.DefaultIdleTimeout, c.settings.Lifetime
+	if c.config != nil {
+		s.Version = c.config.Version
+		s.Routes = make(map[steering.Endpoint]*steering.Route, len(c.config.Routes))
+		for i := range c.config.Routes {
+			r := &c.config.Routes[i]
+			s.Routes[r.Endpoint] = &steering.Route{Name: r.Name, Idempotent: r.Idempotent, Shares: shares(r)}
+		}
+		if c.config.IdleTimeout > 0 {
+			s.IdleTimeout = c.config.IdleTimeout
+		}
+	}
+	s.Services = b.services()
+	s.Servers = steering.NewTokens(b.servers)
+	return b.next
+}
+
+func shares(r *Route) []steering.Share {
+	all := make([]steering.Share, len(r.Shares))
+	for i, s := range r.Shares {
+		all[i] = steering.Share{Service: s.Service, Weight: s.Weight}
+	}
+	return all
+}
+
+// builder collects the servers of one snapshot.
+type builder struct {
+	catalog *Catalog
+	now     model.Time
+	next    model.Time
+	servers []*steering.Server
+}
+
+// at notes a time in the future at which the snapshot changes.
+func (b *builder) at(t model.Time) {
+	if t.After(b.now) && (b.next == 0 || t.Before(b.next)) {
+		b.next = t
+	}
+}
+
+func (b *builder) services() map[string]*steering.Service {
+	services := map[string]*steering.Service{}
+	if b.catalog.config != nil {
+		for i := range b.catalog.config.Services {
+			s := &b.catalog.config.Services[i]
+			services[s.Name] = &steering.Service{Name: s.Name, ColdPerSecond: s.ColdPerSecond, HealthPath: s.HealthPath}
+		}
+	}
+	for _, s := range b.catalog.servers {
+		server := b.server(s)
+		b.servers = append(b.servers, server)
+		if service := services[server.Service]; service != nil && b.takesFlows(s) {
+			service.Servers = append(service.Servers, server)
+		}
+	}
+	for _, s := range services {
+		slices.SortFunc(s.Servers, func(a, b *steering.Server) int { return cmp.Compare(a.ID, b.ID) })
+	}
+	return services
+}
+
+// server returns what traffic needs of a run of a server.
+func (b *builder) server(s *server) *steering.Server {
+	e := &s.entry
+	out := &steering.Server{ID: e.ID, Number: e.Number, Address: e.Address, Service: e.Service, Zone: e.Zone,
+		Slots: e.Slots, State: e.State, Started: e.Started, ColdUntil: s.coldUntil}
+	if back, ok := b.catalog.returned[e.Zone]; ok {
+		out.ColdUntil = max(out.ColdUntil, back.Add(ReturnWatch))
+	}
+	if out.ColdUntil.After(b.now) {
+		b.at(out.ColdUntil)
+	} else {
+		out.ColdUntil = 0
+	}
+	if s.unlisted != 0 {
+		out.Departed = b.gone(s)
+	}
+	return out
+}
+
+// takesFlows reports whether a server may get new flows. A server that vanished
+// without draining may, for a while, since its entry may return.
+func (b *builder) takesFlows(s *server) bool {
+	return s.entry.State == model.ServerActive && !b.catalog.withdrawn[s.entry.Zone] && !b.gone(s)
+}
+
+// gone reports whether a server has certainly ended.
+func (b *builder) gone(s *server) bool {
+	if s.unlisted == 0 || s.replaced {
+		return s.replaced
+	}
+	at, ok := b.catalog.vanishedAt(s)
+	if ok {
+		b.at(at)
+	}
+	return ok && !at.After(b.now)
+}
--- a/internal/core/model/reason.go
+++ b/internal/core/model/reason.go
@@ -27,6 +27,12 @@
 	ReasonQueueFull
 	ReasonTableFull
 
+	// Flows that carry a token.
+	ReasonLeastLoad
+	ReasonUnknownToken
+	ReasonRouteRemoved
+	ReasonSendFailed
+
 	// Packets and requests.
 	ReasonStaleView
 	ReasonNoConfiguration
@@ -97,6 +103,10 @@
 	ReasonTooManyHops:           "too_many_hops",
 	ReasonQueueFull:             "queue_full",
 	ReasonTableFull:             "table_full",
+	ReasonLeastLoad:             "least_load",
+	ReasonUnknownToken:          "unknown_token",
+	ReasonRouteRemoved:          "route_removed",
+	ReasonSendFailed:            "send_failed",
 	ReasonStaleView:             "stale_view",
 	ReasonNoConfiguration:       "no_configuration",
 	ReasonUnknownService:        "unknown_service",
--- /dev/null
+++ b/internal/core/steering/place.go
@@ -0,0 +1,146 @@
+package steering
+
+import (
+	"math"
+	"time"
+
+	"github.com/savorytiller/savorytiller/internal/core/model"
+	"github.com/savorytiller/savorytiller/internal/core/placement"
+)
+
+// coldWindow is the time in which a cold server gets at most one flow from an
+// instance.
+const coldWindow = 2 * time.Second
+
+// load weights of an open flow between its requests, see service.idleLoad.
+const (
+	// idleWeight is how fast the mean load of an open flow follows observations.
+	idleWeight = 0.02
+	// firstIdleLoad holds until there are observations: feeds ask about once a
+	// second and are answered in some ten milliseconds.
+	firstIdleLoad = 0.05
+)
+
+// serviceLoad is what placement measured of a service.
+type serviceLoad struct {
+	// perFlow is the mean number of requests in progress of an open flow.
+	perFlow float64
+}
+
+// candidate classes in the order of preference.
+const (
+	classReady   = iota // own zone, with a free slot
+	classOther          // other zone, with a free slot
+	classQueue          // own zone, slots taken
+	classCold           // cold, within its allowance
+	classFar            // other zone, slots taken
+	classSuspect        // did not answer lately
+)
+
+// serviceOf selects the service of a new flow by the route's weights.
+func serviceOf(r *Route, key FlowKey) string {
+	if len(r.Shares) == 1 {
+		return r.Shares[0].Service
+	}
+	total := 0
+	for _, s := range r.Shares {
+		total += s.Weight
+	}
+	if total == 0 {
+		return ""
+	}
+	// Repetitions of a SYN must find the same service at any instance.
+	h := placement.Mix(uint64(key.Caller.Address)<<16|uint64(key.Caller.Port), uint64(key.Route.Address)<<16|uint64(key.Route.Port))
+	at := int(h % uint64(total))
+	for _, s := range r.Shares {
+		if at -= s.Weight; at < 0 {
+			return s.Service
+		}
+	}
+	return ""
+}
+
+// place chooses the server of a new flow: in the own zone as long as a slot is
+// free there, by the lowest load. avoid is a server that left this flow without
+// an answer, or nil.
+func (s *Steerer) place(service *Service, avoid *target, now model.Time) *target {
+	load := s.loads[service.Name]
+	if load == nil {
+		load = &serviceLoad{perFlow: firstIdleLoad}
+		s.loads[service.Name] = load
+	}
+	var best *target
+	bestClass, bestScore := math.MaxInt, math.Inf(1)
+	flows, busy := 0, 0
+	for _, server := range service.Servers {
+		t := s.targetOf(server)
+		flows += t.flows
+		busy += t.busy
+		if t == avoid {
+			continue
+		}
+		score := s.score(t, load)
+		class := s.class(t, service, score, now)
+		// A small random part spreads the choices of instances that see no load.
+		score += 0.01 * s.random.Float64()
+		if class < bestClass || class == bestClass && score < bestScore {
+			best, bestClass, bestScore = t, class, score
+		}
+	}
+	if flows > 0 {
+		load.perFlow += idleWeight * (float64(busy)/float64(flows) - load.perFlow)
+	}
+	if best == nil {
+		best = avoid
+	}
+	if best != nil {
+		best.tried(now)
+		s.openCold(best, now)
+	}
+	return best
+}
+
+// score returns the load of a server per slot, by what passes this instance and
+// what the other instances of the zone report.
+func (s *Steerer) score(t *target, load *serviceLoad) float64 {
+	idle := float64(t.flows - t.busy)
+	return (float64(t.busy) + idle*load.perFlow) / float64(t.server.Slots)
+}
+
+// class ranks a server by how well it can take a flow.
+func (s *Steerer) class(t *target, service *Service, score float64, now model.Time) int {
+	near := t.server.Zone == s.snapshot.Zone
+	switch {
+	case t.suspect(now):
+		return classSuspect
+	case t.server.ColdUntil.After(now):
+		if s.coldAllowed(t, service, now) {
+			return classCold
+		}
+		return classSuspect + 1
+	case score >= 1 && near:
+		return classQueue
+	case score >= 1:
+		return classFar
+	case near:
+		return classReady
+	default:
+		return classOther
+	}
+}
+
+// coldAllowed reports whether a cold server may get a flow from this instance.
+func (s *Steerer) coldAllowed(t *target, service *Service, now model.Time) bool {
+	return now.Sub(t.window) >= coldWindow || t.opens == 0
+}
+
+// openCold counts a flow against the allowance of a cold server.
+func (s *Steerer) openCold(t *target, now model.Time) {
+	if !t.server.ColdUntil.After(now) {
+		return
+	}
+	if now.Sub(t.window) >= coldWindow {
+		t.window, t.opens = now, 0
+	}
+	t.opens++
+}
--- /dev/null
+++ b/internal/core/steering/steerer.go
@@ -0,0 +1,198 @@
+package steering
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/savorytiller/savorytiller/internal/core/model"
+)
+
+// maxRouteAge is the age of the view of the registry up to which a missing route
+// is taken as removed or never added. It is below the time in which operators
+// expect a configuration to be in force.
+const maxRouteAge = 1500 * time.Millisecond
+
+// Verb says what to do with a packet.
+type Verb uint8
+
+const (
+	// Drop ends the packet.
+	Drop Verb = iota
+	// Deliver sends the packet to Verdict.Server.
+	Deliver
+	// Reset answers the caller with a reset of the flow.
+	Reset
+)
+
+// Verdict is the decision about one packet.
+type Verdict struct {
+	Verb   Verb
+	Reason model.Reason
+	// Server is the server of the flow; nil if none was found.
+	Server *Server
+	// Opened is set if the packet was placed as the first one of a flow.
+	Opened bool
+	// Load is the server's requests in progress by way of this instance before
+	// the flow was placed.
+	Load int
+}
+
+// Steerer decides about the packets of one traffic goroutine and keeps what it
+// observes. It has one owner.
+type Steerer struct {
+	snapshot *Snapshot
+	random   *rand.Rand
+	flows    map[FlowKey]*flow
+	targets  map[Token]*target
+	loads    map[string]*serviceLoad
+	pending  []pendingOpen
+	sweepAt  model.Time
+}
+
+// NewSteerer returns a Steerer without flows.
+func NewSteerer(random *rand.Rand) *Steerer {
+	return &Steerer{random: random, flows: map[FlowKey]*flow{}, targets: map[Token]*target{},
+		loads: map[string]*serviceLoad{}}
+}
+
+// Flows returns the number of records.
+func (s *Steerer) Flows() int { return len(s.flows) }
+
+// Packet decides about a packet of a caller. It allocates nothing for a flow
+// that has a record.
+func (s *Steerer) Packet(snapshot *Snapshot, now model.Time, p *Packet) Verdict {
+	if snapshot == nil || snapshot.Version == 0 {
+		return Verdict{Reason: model.ReasonNoConfiguration}
+	}
+	s.use(snapshot)
+	s.checkOpens(now)
+	s.sweep(now)
+	if p.Opens() {
+		return s.first(p, now)
+	}
+	return s.later(p, now)
+}
+
+// use prepares for a snapshot.
+func (s *Steerer) use(snapshot *Snapshot) {
+	if s.snapshot == snapshot {
+		return
+	}
+	s.snapshot = snapshot
+	for token, t := range s.targets {
+		if server := snapshot.Servers.Find(token); server != nil {
+			t.server = server
+		} else if t.flows == 0 {
+			delete(s.targets, token)
+		}
+	}
+}
+
+// targetOf returns what is known of a server of the snapshot.
+func (s *Steerer) targetOf(server *Server) *target {
+	t := s.targets[server.Token]
+	if t == nil {
+		t = &target{server: server}
+		s.targets[server.Token] = t
+	}
+	return t
+}
+
+// first decides about the first packet of a flow or a repetition of it.
+func (s *Steerer) first(p *Packet, now model.Time) Verdict {
+	route := s.snapshot.Routes[p.Key.Route]
+	if route == nil {
+		return s.noRoute(now)
+	}
+	f := s.flows[p.Key]
+	if f != nil && f.first != p.Sequence {
+		s.forget(p.Key, f)
+		f = nil
+	}
+	if f != nil && (f.stage != opening || now.Sub(f.sentAt) < answerTime) {
+		// A second server would answer too, and the caller could mix the two up.
+		return Verdict{Verb: Deliver, Reason: model.ReasonKnownFlow, Server: f.target.server}
+	}
+	service := s.snapshot.Services[serviceOf(route, p.Key)]
+	if service == nil {
+		return Verdict{Reason: model.ReasonUnknownService}
+	}
+	var avoid *target
+	reason := model.ReasonLeastLoad
+	if f != nil {
+		avoid, reason = f.target, model.ReasonAlternative
+		s.uncount(f)
+	}
+	t := s.place(service, avoid, now)
+	if t == nil {
+		return Verdict{Reason: model.ReasonNoCapacity}
+	}
+	load := t.busy
+	s.open(p, f, t, now)
+	return Verdict{Verb: Deliver, Reason: reason, Server: t.server, Opened: true, Load: load}
+}
+
+// open records a flow that begins at a server.
+func (s *Steerer) open(p *Packet, f *flow, t *target, now model.Time) {
+	if f == nil {
+		if len(s.flows) >= maxFlows {
+			return
+		}
+		f = &flow{openedAt: now, first: p.Sequence}
+		s.flows[p.Key] = f
+	}
+	f.target, f.seenAt, f.sentAt = t, now, now
+	s.count(f)
+	s.setBusy(f, true)
+	s.pending = append(s.pending, pendingOpen{p.Key, p.Sequence, now})
+}
+
+// noRoute decides about a flow to an endpoint without a route. While the view of
+// the registry is old, the route may have been added meanwhile.
+func (s *Steerer) noRoute(now model.Time) Verdict {
+	if now.Sub(s.snapshot.ConfirmedAt) < maxRouteAge {
+		return Verdict{Verb: Reset, Reason: model.ReasonUnknownService}
+	}
+	return Verdict{Reason: model.ReasonUnknownService}
+}
+
+// later decides about a packet of an open flow.
+func (s *Steerer) later(p *Packet, now model.Time) Verdict {
+	f := s.flows[p.Key]
+	t := s.targets[p.Token]
+	if t == nil {
+		if server := s.snapshot.Servers.Find(p.Token); server != nil {
+			t = s.targetOf(server)
+		}
+	}
+	if t == nil {
+		return Verdict{Reason: model.ReasonUnknownToken}
+	}
+	if s.snapshot.Routes[p.Key.Route] == nil && now.Sub(s.snapshot.ConfirmedAt) < maxRouteAge {
+		return s.end(p, f, t, model.ReasonRouteRemoved)
+	}
+	if t.server.Departed && p.Flags&RST == 0 {
+		return s.end(p, f, t, model.ReasonServerRemoved)
+	}
+	if f != nil && f.target != t {
+		// The caller's token is that of the server that answered it.
+		s.uncount(f)
+		f.target = t
+		s.count(f)
+	}
+	if f == nil && p.Flags&(FIN|RST) == 0 {
+		f = s.record(p, t, now)
+	}
+	if f != nil {
+		s.follow(f, p, now)
+	}
+	return Verdict{Verb: Deliver, Reason: model.ReasonKnownFlow, Server: t.server}
+}
+
+// end resets a flow that has no server any more.
+func (s *Steerer) end(p *Packet, f *flow, t *target, reason model.Reason) Verdict {
+	if f != nil {
+		s.forget(p.Key, f)
+	}
+	return Verdict{Verb: Reset, Reason: reason, Server: t.server}
+}
--- a/internal/port/errors.go
+++ b/internal/port/errors.go
@@ -16,6 +16,10 @@
 	ErrTooLarge = merry.Sentinel("message too large")
 	// ErrTruncated means that a packet or a body ends before its announced length.
 	ErrTruncated = merry.Sentinel("truncated")
-	// ErrMalformed means that a packet is not of the expected format.
-	ErrMalformed = merry.Sentinel("packet malformed")
+	// ErrMalformed means that a packet or a document is not of the expected format.
+	ErrMalformed = merry.Sentinel("malformed")
+	// ErrCompacted means that the registry no longer has the history asked for.
+	ErrCompacted = merry.Sentinel("history is compacted")
+	// ErrBusy means that the other end refused the call because of its rate.
+	ErrBusy = merry.Sentinel("too many calls")
 )
