Probe servers that do not answer; reset repeatable flows of unreachable ones

Ruled out: resets on retransmissions alone, which also come from lost packets and would break flows of live servers. Now an unanswered packet asks the control goroutine to probe the server; flows whose callers may repeat are reset while it is unreachable.

--- a/cmd/savorysteer/main.go
+++ b/cmd/savorysteer/main.go
@@ -75,6 +75,7 @@
 			return platform.PacketCodec{CallerPort: s.Listen.Flows.Port()}
 		},
 		Registry: func(s *settings.Steer) port.Registry { return platform.NewStore(s.Registry.Address, connectLimit) },
+		Prober:   platform.NewProber(),
 	}, logs)
 	if err == nil {
 		err = instance.Run(leave)
--- a/internal/app/steer/instance.go
+++ b/internal/app/steer/instance.go
@@ -56,6 +56,7 @@
 	Codec func(*settings.Steer) port.PacketCodec
 	// Registry returns the client of the registry at the settings' address.
 	Registry func(*settings.Steer) port.Registry
+	Prober   port.Prober
 }
 
 // Instance is an assembled instance that is not running yet.
@@ -76,7 +77,7 @@
 	i := &Instance{settings: s, log: logs.Part("instance"), clock: clock.NewSystem(), recorder: metrics.New(decisionsKept)}
 	seed := rand.Uint64() // instances must not choose in step
 	var err error
-	i.control, err = registry.New(registry.Options{Zone: s.Instance.Zone, Clock: i.clock, Registry: p.Registry(s),
+	i.control, err = registry.New(registry.Options{Zone: s.Instance.Zone, Clock: i.clock, Registry: p.Registry(s), Prober: p.Prober,
 		Catalog: catalog.Settings{Lifetime: s.Bounds.FlowLifetime, DefaultIdleTimeout: defaultIdleTimeout},
 		Log:     logs.Part("registry"), Seed: seed})
 	if err != nil {
@@ -90,7 +91,7 @@
 		_ = socket.Close() // the error of the listener is the one to report
 		return nil, merry.Prepend(err, "listen.readiness")
 	}
-	i.worker = packets.New(packets.Options{Socket: socket, Codec: p.Codec(s), Snapshots: i.control, Clock: i.clock,
+	i.worker = packets.New(packets.Options{Socket: socket, Codec: p.Codec(s), Snapshots: i.control, Suspects: i.control, Clock: i.clock,
 		Recorder: i.recorder, Log: logs.Part("flow"),
 		Steerer: steering.NewSteerer(rand.New(rand.NewPCG(seed, 1)))})
 	i.ready = readiness.Server(i.Ready)
--- a/internal/control/registry/control.go
+++ b/internal/control/registry/control.go
@@ -31,6 +31,7 @@
 	Zone     model.Zone
 	Clock    port.Clock
 	Registry port.Registry
+	Prober   port.Prober
 	Catalog  catalog.Settings
 	Log      logr.Logger
 	// Seed starts the random pauses, so that instances do not call in step.
@@ -52,8 +53,8 @@
 
 // New checks the options and returns a Control that does not run yet.
 func New(o Options) (*Control, error) {
-	if o.Zone == "" || o.Clock == nil || o.Registry == nil || o.Catalog.Lifetime <= 0 {
-		return nil, merry.New("registry: zone, clock, registry and the lifetime of flows are required")
+	if o.Zone == "" || o.Clock == nil || o.Registry == nil || o.Prober == nil || o.Catalog.Lifetime <= 0 {
+		return nil, merry.New("registry: zone, clock, registry, prober and the lifetime of flows are required")
 	}
 	if o.Log.GetSink() == nil {
 		o.Log = logr.Discard()
@@ -65,6 +66,15 @@
 // Snapshot returns the newest snapshot; nil before the first one.
 func (c *Control) Snapshot() *steering.Snapshot { return c.snapshot.Load() }
 
+// Suspect implements port.SuspectSink. A server that does not fit is suspected
+// again by its next flow.
+func (c *Control) Suspect(server *steering.Server) {
+	select {
+	case c.events <- evSuspect{server.ID, server.Started}:
+	default:
+	}
+}
+
 // Counts returns the counters, at most a snapshot old; nil before the first.
 func (c *Control) Counts() *Counts { return c.counts.Load() }
 
@@ -110,7 +120,7 @@
 	calls := c.calls
 	go func() {
 		select {
-		case c.events <- f.run(calls, c.options.Registry):
+		case c.events <- f.run(calls, &c.options):
 		case <-c.stopped:
 		}
 	}()
--- a/internal/control/registry/events.go
+++ b/internal/control/registry/events.go
@@ -2,9 +2,10 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/savorytiller/savorytiller/internal/core/catalog"
-	"github.com/savorytiller/savorytiller/internal/port"
+	"github.com/savorytiller/savorytiller/internal/core/model"
 )
 
 // event is a result that the control goroutine takes.
@@ -24,9 +25,23 @@
 	err      error
 }
 
+// evSuspect is a server that flows got no answer from.
+type evSuspect struct {
+	server  model.ServerID
+	started int64
+}
+
+// evProbed is the result of a probe.
+type evProbed struct {
+	server  catalog.ServerEntry
+	sentAt  model.Time
+	reach   catalog.Reach
+	elapsed time.Duration
+}
+
 // effect is a call that runs outside the control goroutine.
 type effect interface {
-	run(ctx context.Context, r port.Registry) event
+	run(ctx context.Context, o *Options) event
 }
 
 // effList lists the registry.
@@ -34,10 +49,10 @@
 	generation int
 }
 
-func (f effList) run(ctx context.Context, r port.Registry) event {
+func (f effList) run(ctx context.Context, o *Options) event {
 	ctx, cancel := context.WithTimeout(ctx, listLimit)
 	defer cancel()
-	changes, err := r.List(ctx)
+	changes, err := o.Registry.List(ctx)
 	return evChanges{f.generation, true, changes, err}
 }
 
@@ -47,22 +62,36 @@
 	after      uint64
 }
 
-func (f effWatch) run(ctx context.Context, r port.Registry) event {
-	changes, err := r.Watch(ctx, f.after, watchWait)
+func (f effWatch) run(ctx context.Context, o *Options) event {
+	changes, err := o.Registry.Watch(ctx, f.after, watchWait)
 	return evChanges{f.generation, false, changes, err}
 }
 
 // effCheck reads the revision.
 type effCheck struct{}
 
-func (effCheck) run(ctx context.Context, r port.Registry) event {
+func (effCheck) run(ctx context.Context, o *Options) event {
 	ctx, cancel := context.WithTimeout(ctx, callLimit)
 	defer cancel()
-	revision, err := r.Revision(ctx)
+	revision, err := o.Registry.Revision(ctx)
 	return evChecked{revision, err}
 }
 
+// effProbe asks a server for a sign of life.
+type effProbe struct {
+	probe  catalog.Probe
+	sentAt model.Time
+}
+
+func (f effProbe) run(ctx context.Context, o *Options) event {
+	ctx, cancel := context.WithTimeout(ctx, probeLimit)
+	defer cancel()
+	s := f.probe.Server
+	reach := o.Prober.Probe(ctx, s.ID, s.Address, f.probe.HealthPath)
+	return evProbed{s, f.sentAt, reach, o.Clock.Now().Sub(f.sentAt)}
+}
+
 // effCancel ends all calls and connections.
 type effCancel struct{}
 
-func (effCancel) run(context.Context, port.Registry) event { return nil }
+func (effCancel) run(context.Context, *Options) event { return nil }
--- a/internal/control/registry/machine.go
+++ b/internal/control/registry/machine.go
@@ -33,6 +33,10 @@
 	// lostAfter is the number of failed checks in a row after which the registry
 	// counts as out of contact.
 	lostAfter = 2
+	// probeLimit bounds a probe: many round trips between zones.
+	probeLimit = 300 * time.Millisecond
+	// maxProbes bounds the probes that run at a time.
+	maxProbes = 8
 	// publishEvery bounds the age of what a snapshot says of the contact.
 	publishEvery = 500 * time.Millisecond
 )
@@ -79,12 +83,13 @@
 	sequence   uint64
 	snapshot   *steering.Snapshot
 	registered steering.Snapshot // the parts of the last snapshot from the registry
+	probing    int
 	counts     Counts
 }
 
 // Counts are the calls and events since the start.
 type Counts struct {
-	Lists, Watches, Checks, Failures, Compactions, Missed, Ignored uint64
+	Lists, Watches, Checks, Failures, Compactions, Missed, Ignored, Probes uint64
 }
 
 func newMachine(o Options) *machine {
@@ -100,6 +105,10 @@
 		m.changes(e)
 	case evChecked:
 		m.checked(e)
+	case evSuspect:
+		m.catalog.Suspect(e.server, e.started)
+	case evProbed:
+		m.probed(e)
 	}
 	m.work()
 }
@@ -109,6 +118,7 @@
 	m.next = m.now.Add(publishEvery)
 	m.check()
 	m.read()
+	m.probe()
 	if !m.now.Before(m.expireAt) {
 		m.catalog.Expire(m.now)
 		m.expireAt = m.now.Add(time.Second)
@@ -143,6 +153,27 @@
 	m.effects = append(m.effects, effList{f.generation})
 }
 
+// probe starts the probes that are due.
+func (m *machine) probe() {
+	due, next := m.catalog.DueProbes(m.now, maxProbes-m.probing)
+	for _, p := range due {
+		m.probing++
+		m.counts.Probes++
+		m.effects = append(m.effects, effProbe{p, m.now})
+	}
+	if next != 0 && m.probing < maxProbes {
+		m.wake(next)
+	}
+}
+
+func (m *machine) probed(e evProbed) {
+	m.probing--
+	if m.catalog.Probed(e.sentAt, m.now, e.server.ID, e.server.Started, e.reach) {
+		m.log.Info("server probed", "server", e.server.ID, "zone", e.server.Zone, "reach", e.reach.String(),
+			"after_ms", e.elapsed.Milliseconds())
+	}
+}
+
 // changes takes the result of a listing or a watch.
 func (m *machine) changes(e evChanges) {
 	f := &m.feed
--- a/internal/core/catalog/catalog.go
+++ b/internal/core/catalog/catalog.go
@@ -52,6 +52,12 @@
 	unlisted model.Time
 	// replaced is set if the same server started again.
 	replaced bool
+	// reach is the result of the last probe, which was sent at reachAt.
+	reach   Reach
+	reachAt model.Time
+	// suspect asks for a probe; probing is set while one runs.
+	suspect, probing bool
+	probedAt         model.Time
 }
 
 // Catalog merges what the registry and other instances say. It has one owner.
@@ -146,6 +152,9 @@
 		s = &server{}
 		c.servers[r] = s
 	}
+	if s.entry.Address != e.Address {
+		s.reach, s.reachAt = ReachUnknown, 0
+	}
 	s.entry, s.unlisted = *e, 0
 	s.coldUntil = 0
 	if e.ColdFor > 0 {
--- a/internal/core/catalog/snapshot.go
+++ b/internal/core/catalog/snapshot.go
@@ -77,7 +77,8 @@
 func (b *builder) server(s *server) *steering.Server {
 	e := &s.entry
 	out := &steering.Server{ID: e.ID, Number: e.Number, Address: e.Address, Service: e.Service, Zone: e.Zone,
-		Slots: e.Slots, State: e.State, Started: e.Started, ColdUntil: s.coldUntil}
+		Slots: e.Slots, State: e.State, Started: e.Started, ColdUntil: s.coldUntil,
+		Reach: s.reach, ReachAt: s.reachAt}
 	if back, ok := b.catalog.returned[e.Zone]; ok {
 		out.ColdUntil = max(out.ColdUntil, back.Add(ReturnWatch))
 	}
@@ -100,8 +101,11 @@
 
 // gone reports whether a server has certainly ended.
 func (b *builder) gone(s *server) bool {
-	if s.unlisted == 0 || s.replaced {
-		return s.replaced
+	if s.replaced || s.reach == Ended {
+		return true
+	}
+	if s.unlisted == 0 {
+		return false
 	}
 	at, ok := b.catalog.vanishedAt(s)
 	if ok {
--- a/internal/core/steering/flows.go
+++ b/internal/core/steering/flows.go
@@ -135,7 +135,7 @@
 			s.setBusy(f, true)
 		case !f.repeated && now.Sub(f.sentAt) >= answerTime:
 			f.repeated = true
-			f.target.unanswered(now, f.sentAt)
+			s.unanswered(f.target, now, f.sentAt)
 		}
 	}
 	if p.Flags&(FIN|RST) != 0 && f.stage != closed {
@@ -155,7 +155,7 @@
 		if f == nil || f.stage != opening || f.first != p.first || f.sentAt != p.sentAt {
 			continue
 		}
-		f.target.unanswered(now, f.sentAt)
+		s.unanswered(f.target, now, f.sentAt)
 		s.setBusy(f, false)
 	}
 }
--- a/internal/core/steering/standing.go
+++ b/internal/core/steering/standing.go
@@ -21,8 +21,6 @@
 // instances, so a server's health shows only in what its callers send next.
 type target struct {
 	server *Server
-	// sequence is that of the snapshot with server.
-	sequence uint64
 	// flows and busy count open flows and requests in progress by way of this
 	// instance.
 	flows, busy int
@@ -32,6 +30,8 @@
 	// retryAt is when a suspect server may get a flow to try; 0 if it is not suspect.
 	retryAt model.Time
 	backoff time.Duration
+	// report asks for a probe of the server.
+	report bool
 	// opens are the flows opened in the second from window while the server was cold.
 	opens  int
 	window model.Time
@@ -49,14 +49,28 @@
 		return
 	}
 	t.silent++
+	t.report = true
 	if t.silent >= maxUnanswered {
 		t.backoff = min(max(minRetry, 2*t.backoff), maxRetry)
 		t.retryAt = now.Add(t.backoff)
 	}
 }
 
+// renew takes the server as a new snapshot has it.
+func (t *target) renew(server *Server) {
+	t.server = server
+	if server.Reach == Reachable && server.ReachAt.After(t.answeredAt) {
+		t.answered(server.ReachAt)
+	}
+}
+
+// unreachable reports whether a probe failed and nothing was heard since.
+func (t *target) unreachable() bool {
+	return t.server.Reach == Unreachable && t.server.ReachAt.After(t.answeredAt)
+}
+
 // suspect reports whether the server should get no new flow now.
-func (t *target) suspect(now model.Time) bool { return now.Before(t.retryAt) }
+func (t *target) suspect(now model.Time) bool { return now.Before(t.retryAt) || t.unreachable() }
 
 // tried notes that a suspect server gets a flow to try. Until that flow shows
 // an answer it gets no other.
--- a/internal/core/steering/steerer.go
+++ b/internal/core/steering/steerer.go
@@ -46,6 +46,7 @@
 	targets  map[Token]*target
 	loads    map[string]*serviceLoad
 	pending  []pendingOpen
+	suspects []*target
 	sweepAt  model.Time
 }
 
@@ -81,13 +82,35 @@
 	s.snapshot = snapshot
 	for token, t := range s.targets {
 		if server := snapshot.Servers.Find(token); server != nil {
-			t.server = server
+			t.renew(server)
 		} else if t.flows == 0 {
 			delete(s.targets, token)
 		}
 	}
 }
 
+// TakeSuspect returns a server that should be probed, or nil.
+func (s *Steerer) TakeSuspect() *Server {
+	for len(s.suspects) > 0 {
+		t := s.suspects[len(s.suspects)-1]
+		s.suspects = s.suspects[:len(s.suspects)-1]
+		if t.report {
+			t.report = false
+			return t.server
+		}
+	}
+	return nil
+}
+
+// unanswered notes that something sent to a target at the given time got no
+// answer.
+func (s *Steerer) unanswered(t *target, now, sentAt model.Time) {
+	reported := t.report
+	if t.unanswered(now, sentAt); t.report && !reported {
+		s.suspects = append(s.suspects, t)
+	}
+}
+
 // targetOf returns what is known of a server of the snapshot.
 func (s *Steerer) targetOf(server *Server) *target {
 	t := s.targets[server.Token]
@@ -121,6 +144,7 @@
 	reason := model.ReasonLeastLoad
 	if f != nil {
 		avoid, reason = f.target, model.ReasonAlternative
+		s.unanswered(f.target, now, f.sentAt)
 		s.uncount(f)
 	}
 	t := s.place(service, avoid, now)
@@ -168,12 +192,16 @@
 	if t == nil {
 		return Verdict{Reason: model.ReasonUnknownToken}
 	}
-	if s.snapshot.Routes[p.Key.Route] == nil && now.Sub(s.snapshot.ConfirmedAt) < maxRouteAge {
+	route := s.snapshot.Routes[p.Key.Route]
+	if route == nil && now.Sub(s.snapshot.ConfirmedAt) < maxRouteAge {
 		return s.end(p, f, t, model.ReasonRouteRemoved)
 	}
 	if t.server.Departed && p.Flags&RST == 0 {
 		return s.end(p, f, t, model.ReasonServerRemoved)
 	}
+	if t.unreachable() && route != nil && route.Idempotent && s.alternative(t) {
+		return s.end(p, f, t, model.ReasonServerFailed)
+	}
 	if f != nil && f.target != t {
 		// The caller's token is that of the server that answered it.
 		s.uncount(f)
@@ -189,6 +217,21 @@
 	return Verdict{Verb: Deliver, Reason: model.ReasonKnownFlow, Server: t.server}
 }
 
+// alternative reports whether another server of the service may be reachable.
+// If none is, this instance is probably cut off itself.
+func (s *Steerer) alternative(t *target) bool {
+	service := s.snapshot.Services[t.server.Service]
+	if service == nil {
+		return false
+	}
+	for _, server := range service.Servers {
+		if other := s.targetOf(server); other != t && !other.unreachable() {
+			return true
+		}
+	}
+	return false
+}
+
 // end resets a flow that has no server any more.
 func (s *Steerer) end(p *Packet, f *flow, t *target, reason model.Reason) Verdict {
 	if f != nil {
--- a/internal/core/steering/types.go
+++ b/internal/core/steering/types.go
@@ -88,9 +88,27 @@
 	// Departed is set once it is certain that the server has ended. Its flows
 	// are reset, so that callers learn it at once.
 	Departed bool
-	Token    Token
+	// Reach is the result of the last probe, which was sent at ReachAt.
+	Reach   Reach
+	ReachAt model.Time
+	Token   Token
 }
 
+// Reach is what a probe of a server shows.
+type Reach uint8
+
+const (
+	// ReachUnknown means that there was no probe, or no clear result.
+	ReachUnknown Reach = iota
+	// Reachable means that the server answered.
+	Reachable
+	// Unreachable means that nothing answers at the server's address.
+	Unreachable
+	// Ended means that the run of the server is over: its port is closed, or
+	// another server has its address.
+	Ended
+)
+
 // Share is a service's part of a route's new flows.
 type Share struct {
 	Service string
@@ -133,3 +151,8 @@
 	// IdleTimeout and Lifetime bound the flows.
 	IdleTimeout, Lifetime time.Duration
 }
+
+// String returns the name for logs.
+func (r Reach) String() string {
+	return [...]string{"unknown", "reachable", "unreachable", "ended"}[r]
+}
--- a/internal/port/registry.go
+++ b/internal/port/registry.go
@@ -2,11 +2,19 @@
 
 import (
 	"context"
+	"net/netip"
 	"time"
 
 	"github.com/savorytiller/savorytiller/internal/core/catalog"
+	"github.com/savorytiller/savorytiller/internal/core/model"
 )
 
+// Prober asks a backend server for a sign of life.
+type Prober interface {
+	// Probe waits for an answer of the server until the context ends.
+	Probe(ctx context.Context, id model.ServerID, address netip.AddrPort, path string) catalog.Reach
+}
+
 // Registry reads the store in which operators and backend servers publish. Its
 // errors are ErrUnavailable, ErrBusy, ErrTooLarge and ErrMalformed.
 type Registry interface {
--- a/internal/port/steering.go
+++ b/internal/port/steering.go
@@ -11,6 +11,11 @@
 	Snapshot() *steering.Snapshot
 }
 
+// SuspectSink takes the servers that flows got no answer from. It never blocks.
+type SuspectSink interface {
+	Suspect(server *steering.Server)
+}
+
 // PacketSocket carries datagrams. Receive blocks; the methods are used by one
 // goroutine at a time, Close by any.
 type PacketSocket interface {
--- a/internal/traffic/packets/worker.go
+++ b/internal/traffic/packets/worker.go
@@ -32,6 +32,7 @@
 	Socket    port.PacketSocket
 	Codec     port.PacketCodec
 	Snapshots port.SnapshotReader
+	Suspects  port.SuspectSink
 	Clock     port.Clock
 	Recorder  port.Recorder
 	Log       logr.Logger
@@ -92,6 +93,9 @@
 		datagram, caller := o.Codec.Reset(w.reset[:], p)
 		w.send(caller, datagram)
 	}
+	for suspect := o.Steerer.TakeSuspect(); suspect != nil; suspect = o.Steerer.TakeSuspect() {
+		o.Suspects.Suspect(suspect)
+	}
 	w.log(&v)
 }
 
