Find instances from seeds; one watcher a zone tells the others what changed

Now membership comes from the seeds (core/member over UDP), the first live instance of a zone watches, and the others get changes and the age of the confirmation from it. An instance whose news are older than 1.5 s reads for itself and tells its zone.

--- a/internal/adapter/settings/steer.go
+++ b/internal/adapter/settings/steer.go
@@ -12,6 +12,8 @@
 type Steer struct {
 	Instance Instance
 	Listen   SteerAddresses
+	// Seeds are peer addresses of some instances; they may be stale.
+	Seeds    []netip.AddrPort
 	Registry Registry
 	Bounds   Bounds
 	Log      Log
@@ -23,6 +25,8 @@
 	Flows netip.AddrPort
 	// Readiness answers whether the instance takes new flows.
 	Readiness netip.AddrPort
+	// Peers gets the messages of other instances.
+	Peers netip.AddrPort
 	// Metrics serves counters and histograms; optional.
 	Metrics netip.AddrPort
 }
@@ -48,7 +52,9 @@
 	name("instance.zone", func(s *Steer, v string) { s.Instance.Zone = model.Zone(v) }),
 	address("listen.flows", true, func(s *Steer) *netip.AddrPort { return &s.Listen.Flows }),
 	address("listen.readiness", true, func(s *Steer) *netip.AddrPort { return &s.Listen.Readiness }),
+	address("listen.peers", true, func(s *Steer) *netip.AddrPort { return &s.Listen.Peers }),
 	address("listen.metrics", false, func(s *Steer) *netip.AddrPort { return &s.Listen.Metrics }),
+	{key: "peers.seeds", allowed: "a list of IP numbers with ports, for example [\"10.0.0.1:7000\"]", set: setSeeds},
 	address("registry.address", true, func(s *Steer) *netip.AddrPort { return &s.Registry.Address }),
 	milliseconds("bounds.flow_lifetime_ms", 60_000, 1000, 86_400_000, func(s *Steer) *time.Duration { return &s.Bounds.FlowLifetime }),
 	milliseconds("bounds.stop_grace_ms", 6000, 100, 600_000, func(s *Steer) *time.Duration { return &s.Bounds.StopGrace }),
@@ -56,6 +62,17 @@
 	logLevel(func(s *Steer) *string { return &s.Log.Level }),
 }
 
+func setSeeds(s *Steer, v any) bool {
+	list, ok := v.([]any)
+	for _, e := range list {
+		text, _ := e.(string)
+		seed, err := netip.ParseAddrPort(text)
+		s.Seeds = append(s.Seeds, seed)
+		ok = ok && err == nil
+	}
+	return ok
+}
+
 // LoadSteer reads and checks the settings file of a steering instance. The error
 // is ErrUnreadable, or an InvalidError with every problem of the file.
 func LoadSteer(path string) (*Steer, error) { return load(path, ParseSteer) }
--- a/internal/app/steer/instance.go
+++ b/internal/app/steer/instance.go
@@ -17,11 +17,13 @@
 	"github.com/savorytiller/savorytiller/internal/adapter/clock"
 	"github.com/savorytiller/savorytiller/internal/adapter/logging"
 	"github.com/savorytiller/savorytiller/internal/adapter/metrics"
+	"github.com/savorytiller/savorytiller/internal/adapter/peerudp"
 	"github.com/savorytiller/savorytiller/internal/adapter/readiness"
 	"github.com/savorytiller/savorytiller/internal/adapter/settings"
 	"github.com/savorytiller/savorytiller/internal/adapter/udp"
 	"github.com/savorytiller/savorytiller/internal/control/registry"
 	"github.com/savorytiller/savorytiller/internal/core/catalog"
+	"github.com/savorytiller/savorytiller/internal/core/model"
 	"github.com/savorytiller/savorytiller/internal/core/steering"
 	"github.com/savorytiller/savorytiller/internal/port"
 	"github.com/savorytiller/savorytiller/internal/traffic/packets"
@@ -66,6 +68,7 @@
 	clock    *clock.System
 	recorder *metrics.Recorder
 	control  *registry.Control
+	peers    *peerudp.Socket
 	worker   *packets.Worker
 	listener net.Listener
 	ready    *http.Server
@@ -77,7 +80,11 @@
 	i := &Instance{settings: s, log: logs.Part("instance"), clock: clock.NewSystem(), recorder: metrics.New(decisionsKept)}
 	seed := rand.Uint64() // instances must not choose in step
 	var err error
-	i.control, err = registry.New(registry.Options{Zone: s.Instance.Zone, Clock: i.clock, Registry: p.Registry(s), Prober: p.Prober,
+	if i.peers, err = peerudp.Listen(s.Listen.Peers, i.recorder); err != nil {
+		return nil, merry.Prepend(err, "listen.peers")
+	}
+	self := model.Member{ID: s.Instance.ID, Zone: s.Instance.Zone, Incarnation: i.clock.Incarnation(), PeerAddress: s.Listen.Peers}
+	i.control, err = registry.New(registry.Options{Self: self, Seeds: s.Seeds, Peers: i.peers, Clock: i.clock, Registry: p.Registry(s), Prober: p.Prober,
 		Catalog: catalog.Settings{Lifetime: s.Bounds.FlowLifetime, DefaultIdleTimeout: defaultIdleTimeout},
 		Log:     logs.Part("registry"), Seed: seed})
 	if err != nil {
@@ -93,7 +100,7 @@
 	}
 	i.worker = packets.New(packets.Options{Socket: socket, Codec: p.Codec(s), Snapshots: i.control, Suspects: i.control, Clock: i.clock,
 		Recorder: i.recorder, Log: logs.Part("flow"),
-		Steerer: steering.NewSteerer(rand.New(rand.NewPCG(seed, 1)))})
+		Steerer: steering.NewSteerer(rand.New(rand.NewPCG(seed, 1)), s.Bounds.ColdMargin)})
 	i.ready = readiness.Server(i.Ready)
 	return i, nil
 }
@@ -112,6 +119,7 @@
 	ctx, cancel := context.WithCancel(context.WithoutCancel(leave))
 	parts := []part{
 		{"control", i.control.Run},
+		{"peers", func(ctx context.Context) error { return i.peers.Serve(ctx, i.control.Receive) }},
 		{"traffic", i.worker.Run},
 		{"readiness", func(context.Context) error { return readiness.Serve(i.ready, i.listener) }},
 	}
@@ -145,6 +153,7 @@
 // has moved to other instances or the grace ends.
 func (i *Instance) shutDown(ended <-chan error) error {
 	i.leaving.Store(true)
+	i.control.Leave()
 	begun := i.clock.Now()
 	i.log.Info("told to stop, serving until traffic has moved")
 	ticker := time.NewTicker(stopPoll)
--- a/internal/control/registry/control.go
+++ b/internal/control/registry/control.go
@@ -9,6 +9,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"runtime"
 	"sync/atomic"
 	"time"
@@ -18,17 +19,22 @@
 
 	"github.com/savorytiller/savorytiller/internal/core/catalog"
 	"github.com/savorytiller/savorytiller/internal/core/model"
+	"github.com/savorytiller/savorytiller/internal/core/peer"
 	"github.com/savorytiller/savorytiller/internal/core/steering"
 	"github.com/savorytiller/savorytiller/internal/port"
 )
 
-// eventQueue bounds the events that wait. Each effect posts one event, and only
-// a few effects run at a time.
-const eventQueue = 256
+// eventQueue bounds the events that wait. Most of them are messages of other
+// instances, which a burst of changes sends to every one.
+const eventQueue = 1024
 
 // Options configure a Control. All are required but Log.
 type Options struct {
-	Zone     model.Zone
+	// Self is this instance with its zone, peer address and incarnation.
+	Self model.Member
+	// Seeds are peer addresses of some instances, which may be stale.
+	Seeds    []netip.AddrPort
+	Peers    port.PeerSender
 	Clock    port.Clock
 	Registry port.Registry
 	Prober   port.Prober
@@ -53,8 +59,8 @@
 
 // New checks the options and returns a Control that does not run yet.
 func New(o Options) (*Control, error) {
-	if o.Zone == "" || o.Clock == nil || o.Registry == nil || o.Prober == nil || o.Catalog.Lifetime <= 0 {
-		return nil, merry.New("registry: zone, clock, registry, prober and the lifetime of flows are required")
+	if o.Self.ID == "" || o.Self.Zone == "" || o.Peers == nil || o.Clock == nil || o.Registry == nil || o.Prober == nil || o.Catalog.Lifetime <= 0 {
+		return nil, merry.New("registry: instance, peers, clock, registry, prober and the lifetime of flows are required")
 	}
 	if o.Log.GetSink() == nil {
 		o.Log = logr.Discard()
@@ -69,8 +75,20 @@
 // Suspect implements port.SuspectSink. A server that does not fit is suspected
 // again by its next flow.
 func (c *Control) Suspect(server *steering.Server) {
+	c.offer(evSuspect{server.ID, server.Started})
+}
+
+// Receive takes a message of another instance; one that does not fit is lost
+// like one that the network drops.
+func (c *Control) Receive(m *peer.Message) { c.offer(evMessage{m}) }
+
+// Leave announces that this instance stops.
+func (c *Control) Leave() { c.offer(evLeave{}) }
+
+// offer posts an event unless the queue is full.
+func (c *Control) offer(e event) {
 	select {
-	case c.events <- evSuspect{server.ID, server.Started}:
+	case c.events <- e:
 	default:
 	}
 }
@@ -111,11 +129,15 @@
 
 // execute runs an effect in its own goroutine, which posts the result.
 func (c *Control) execute(ctx context.Context, f effect) {
-	if _, ok := f.(effCancel); ok {
+	switch f.(type) {
+	case effCancel:
 		c.cancel()
 		c.options.Registry.Reconnect()
 		c.calls, c.cancel = context.WithCancel(ctx)
 		return
+	case effSend:
+		f.run(ctx, &c.options) // does not block
+		return
 	}
 	calls := c.calls
 	go func() {
--- a/internal/control/registry/events.go
+++ b/internal/control/registry/events.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"net/netip"
 	"time"
 
 	"github.com/savorytiller/savorytiller/internal/core/catalog"
 	"github.com/savorytiller/savorytiller/internal/core/model"
+	"github.com/savorytiller/savorytiller/internal/core/peer"
 )
 
 // event is a result that the control goroutine takes.
@@ -31,6 +33,12 @@
 	started int64
 }
 
+// evMessage is a message of another instance.
+type evMessage struct{ message *peer.Message }
+
+// evLeave says that this instance is told to stop.
+type evLeave struct{}
+
 // evProbed is the result of a probe.
 type evProbed struct {
 	server  catalog.ServerEntry
@@ -91,6 +99,17 @@
 	return evProbed{s, f.sentAt, reach, o.Clock.Now().Sub(f.sentAt)}
 }
 
+// effSend sends a message to another instance.
+type effSend struct {
+	to      netip.AddrPort
+	message *peer.Message
+}
+
+func (f effSend) run(_ context.Context, o *Options) event {
+	o.Peers.Send(f.to, f.message)
+	return nil
+}
+
 // effCancel ends all calls and connections.
 type effCancel struct{}
 
--- a/internal/core/catalog/catalog.go
+++ b/internal/core/catalog/catalog.go
@@ -64,6 +64,8 @@
 type Catalog struct {
 	settings Settings
 	config   *Configuration
+	// configKey is the key that held the configuration.
+	configKey string
 	// revisions holds the newest revision of each key, removed ones included.
 	revisions map[string]uint64
 	tombs     int
@@ -124,7 +126,7 @@
 		if c.config != nil && e.Config.Version <= c.config.Version {
 			return Unchanged
 		}
-		c.config = e.Config
+		c.config, c.configKey = e.Config, e.Key
 		return ConfigurationInForce
 	case e.Server != nil:
 		return c.list(now, e.Key, e.Server)
--- a/internal/core/catalog/snapshot.go
+++ b/internal/core/catalog/snapshot.go
@@ -9,9 +9,10 @@
 )
 
 // Fill builds the parts of a snapshot that come from the registry, and returns
-// when they change next without a new entry; 0 for never.
-func (c *Catalog) Fill(now model.Time, s *steering.Snapshot) model.Time {
-	b := builder{catalog: c, now: now}
+// when they change next without a new entry; 0 for never. The home function
+// reports whether this instance is the one that may open flows on a cold server.
+func (c *Catalog) Fill(now model.Time, s *steering.Snapshot, home func(model.ServerID, model.Zone) bool) model.Time {
+	b := builder{catalog: c, now: now, home: home}
 	s.IdleTimeout, s.Lifetime = c.settings.DefaultIdleTimeout, c.settings.Lifetime
 	if c.config != nil {
 		s.Version = c.config.Version
@@ -41,6 +42,7 @@
 type builder struct {
 	catalog *Catalog
 	now     model.Time
+	home    func(model.ServerID, model.Zone) bool
 	next    model.Time
 	servers []*steering.Server
 }
@@ -84,6 +86,7 @@
 	}
 	if out.ColdUntil.After(b.now) {
 		b.at(out.ColdUntil)
+		out.ColdHome = b.home(e.ID, e.Zone)
 	} else {
 		out.ColdUntil = 0
 	}
@@ -113,3 +116,21 @@
 	}
 	return ok && !at.After(b.now)
 }
+
+// All returns what the registry holds as entries, in the order of their keys.
+func (c *Catalog) All() []Entry {
+	var all []Entry
+	if c.config != nil {
+		all = append(all, Entry{Key: c.configKey, Revision: c.revisions[c.configKey], Config: c.config})
+	}
+	for key, h := range c.listed {
+		e := Entry{Key: key, Revision: c.revisions[key], Withdrawn: h.zone}
+		if s := c.servers[h.run]; h.zone == "" && s != nil {
+			entry := s.entry
+			e.Server = &entry
+		}
+		all = append(all, e)
+	}
+	slices.SortFunc(all, func(a, b Entry) int { return cmp.Compare(a.Key, b.Key) })
+	return all
+}
--- a/internal/core/member/member.go
+++ b/internal/core/member/member.go
@@ -150,6 +150,9 @@
 // Len returns the number of known instances, dead ones included.
 func (t *Table) Len() int { return len(t.peers) + 1 }
 
+// OtherZones reports whether instances of other zones are known, dead ones included.
+func (t *Table) OtherZones() bool { return len(t.others) > 0 }
+
 // Listed returns the identifiers in the platform's newest list together with
 // this instance, sorted.
 func (t *Table) Listed() []model.InstanceID { return t.list }
--- a/internal/core/steering/place.go
+++ b/internal/core/steering/place.go
@@ -8,9 +8,9 @@
 	"github.com/savorytiller/savorytiller/internal/core/placement"
 )
 
-// coldWindow is the time in which a cold server gets at most one flow from an
-// instance.
-const coldWindow = 2 * time.Second
+// coldWindow is the time in which a cold server gets its allowance of a second
+// at most. The difference covers what packets may be delayed.
+const coldWindow = 1200 * time.Millisecond
 
 // load weights of an open flow between its requests, see service.idleLoad.
 const (
@@ -35,6 +35,7 @@
 	classCold           // cold, within its allowance
 	classFar            // other zone, slots taken
 	classSuspect        // did not answer lately
+	classNone           // must not get a flow
 )
 
 // serviceOf selects the service of a new flow by the route's weights.
@@ -83,6 +84,9 @@
 		class := s.class(t, service, score, now)
 		// A small random part spreads the choices of instances that see no load.
 		score += 0.01 * s.random.Float64()
+		if class == classNone {
+			continue
+		}
 		if class < bestClass || class == bestClass && score < bestScore {
 			best, bestClass, bestScore = t, class, score
 		}
@@ -90,7 +94,7 @@
 	if flows > 0 {
 		load.perFlow += idleWeight * (float64(busy)/float64(flows) - load.perFlow)
 	}
-	if best == nil {
+	if best == nil && avoid != nil && s.class(avoid, service, 0, now) != classNone {
 		best = avoid
 	}
 	if best != nil {
@@ -100,11 +104,11 @@
 	return best
 }
 
-// score returns the load of a server per slot, by what passes this instance and
-// what the other instances of the zone report.
+// score returns the load of a server per slot, taking the other instances of the
+// zone to send as much as this one.
 func (s *Steerer) score(t *target, load *serviceLoad) float64 {
 	idle := float64(t.flows - t.busy)
-	return (float64(t.busy) + idle*load.perFlow) / float64(t.server.Slots)
+	return (float64(t.busy) + idle*load.perFlow) * float64(s.snapshot.Neighbours) / float64(t.server.Slots)
 }
 
 // class ranks a server by how well it can take a flow.
@@ -117,7 +121,7 @@
 		if s.coldAllowed(t, service, now) {
 			return classCold
 		}
-		return classSuspect + 1
+		return classNone
 	case score >= 1 && near:
 		return classQueue
 	case score >= 1:
@@ -131,7 +135,12 @@
 
 // coldAllowed reports whether a cold server may get a flow from this instance.
 func (s *Steerer) coldAllowed(t *target, service *Service, now model.Time) bool {
-	return now.Sub(t.window) >= coldWindow || t.opens == 0
+	if !t.server.ColdHome {
+		return false
+	}
+	// Two instances may take themselves for the home for a while.
+	allowance := int(service.ColdPerSecond+s.coldMargin) / 2
+	return allowance > 0 && (now.Sub(t.window) >= coldWindow || t.opens < allowance)
 }
 
 // openCold counts a flow against the allowance of a cold server.
--- a/internal/core/steering/steerer.go
+++ b/internal/core/steering/steerer.go
@@ -40,19 +40,23 @@
 // Steerer decides about the packets of one traffic goroutine and keeps what it
 // observes. It has one owner.
 type Steerer struct {
-	snapshot *Snapshot
-	random   *rand.Rand
-	flows    map[FlowKey]*flow
-	targets  map[Token]*target
-	loads    map[string]*serviceLoad
-	pending  []pendingOpen
-	suspects []*target
-	sweepAt  model.Time
+	// coldMargin is the number of new flows a second that a cold server bears
+	// beside its rate.
+	coldMargin float64
+	snapshot   *Snapshot
+	random     *rand.Rand
+	flows      map[FlowKey]*flow
+	targets    map[Token]*target
+	loads      map[string]*serviceLoad
+	pending    []pendingOpen
+	suspects   []*target
+	sweepAt    model.Time
 }
 
-// NewSteerer returns a Steerer without flows.
-func NewSteerer(random *rand.Rand) *Steerer {
-	return &Steerer{random: random, flows: map[FlowKey]*flow{}, targets: map[Token]*target{},
+// NewSteerer returns a Steerer without flows. A cold server bears coldMargin new
+// flows a second beside its rate.
+func NewSteerer(random *rand.Rand, coldMargin int) *Steerer {
+	return &Steerer{coldMargin: float64(coldMargin), random: random, flows: map[FlowKey]*flow{}, targets: map[Token]*target{},
 		loads: map[string]*serviceLoad{}}
 }
 
--- a/internal/core/steering/types.go
+++ b/internal/core/steering/types.go
@@ -85,6 +85,9 @@
 	Started int64
 	// ColdUntil is the end of the server's cold start; 0 for a warm server.
 	ColdUntil model.Time
+	// ColdHome is set on the one instance that may open flows on the server while
+	// it is cold.
+	ColdHome bool
 	// Departed is set once it is certain that the server has ended. Its flows
 	// are reset, so that callers learn it at once.
 	Departed bool
@@ -146,6 +149,10 @@
 	// Servers holds listed servers and, for the lifetime of their flows, departed ones.
 	Servers *Tokens
 	Zone    model.Zone
+	// Neighbours is the number of live instances in the zone, at least 1.
+	Neighbours int
+	// CutOff is set while no instance of another zone can be heard.
+	CutOff bool
 	// ConfirmedAt is when the registry was last known to hold nothing newer.
 	ConfirmedAt model.Time
 	// IdleTimeout and Lifetime bound the flows.
--- a/internal/port/registry.go
+++ b/internal/port/registry.go
@@ -7,6 +7,7 @@
 
 	"github.com/savorytiller/savorytiller/internal/core/catalog"
 	"github.com/savorytiller/savorytiller/internal/core/model"
+	"github.com/savorytiller/savorytiller/internal/core/peer"
 )
 
 // Prober asks a backend server for a sign of life.
@@ -29,3 +30,9 @@
 	// Reconnect gives up idle connections, because they may be silent for good.
 	Reconnect()
 }
+
+// PeerSender sends messages to other instances. It does not block, and messages
+// may get lost.
+type PeerSender interface {
+	Send(to netip.AddrPort, m *peer.Message)
+}
