Pass configurations on as differences; count failed probes only if others answer

Ruled out: a starved process; the probes ended on time. Now configurations travel as the difference to the version before, the instance with the widest link of a zone watches, and a probe only fails if another instance answered a question that was sent after it.

--- a/internal/adapter/peerudp/codec.go
+++ b/internal/adapter/peerudp/codec.go
@@ -43,6 +43,7 @@
 	Incarnation uint64
 	Liveness    uint8
 	Address     []byte
+	Capacity    uint32
 }
 
 type wireEntry struct {
@@ -53,6 +54,10 @@
 	Withdrawn string
 	Config    *wireConfig
 	Server    *wireServer
+	// Base and Without are set if Config is the difference from version Base:
+	// its routes are new or changed, and those named in Without are gone.
+	Base    uint64
+	Without []string
 }
 
 type wireConfig struct {
@@ -131,13 +136,18 @@
 
 func memberOf(m *model.Member) wireMember {
 	return wireMember{ID: string(m.ID), Zone: string(m.Zone), Incarnation: uint64(m.Incarnation),
-		Liveness: uint8(m.Liveness), Address: addressBytes(m.PeerAddress)}
+		Liveness: uint8(m.Liveness), Address: addressBytes(m.PeerAddress), Capacity: m.Capacity}
 }
 
 func entryOf(e *catalog.Entry) wireEntry {
 	w := wireEntry{Key: e.Key, Revision: e.Revision, Removed: e.Removed, Withdrawn: string(e.Withdrawn)}
-	if c := e.Config; c != nil {
-		w.Config = configOf(c)
+	switch {
+	case e.Delta != nil:
+		d := e.Delta
+		w.Base, w.Without = d.Base, d.Removed
+		w.Config = configOf(&catalog.Configuration{Version: d.Version, IdleTimeout: d.IdleTimeout, Services: d.Services, Routes: d.Routes})
+	case e.Config != nil:
+		w.Config = configOf(e.Config)
 	}
 	if s := e.Server; s != nil {
 		w.Server = &wireServer{ID: string(s.ID), Number: s.Number, Address: addressBytes(s.Address), Service: s.Service,
@@ -205,16 +215,22 @@
 		err = merry.Errorf("member %q with liveness %d", w.ID, w.Liveness)
 	}
 	return model.Member{ID: model.InstanceID(w.ID), Zone: model.Zone(w.Zone), Incarnation: model.Incarnation(w.Incarnation),
-		Liveness: model.Liveness(w.Liveness), PeerAddress: address}, err
+		Liveness: model.Liveness(w.Liveness), PeerAddress: address, Capacity: w.Capacity}, err
 }
 
 func (w *wireEntry) entry() (catalog.Entry, error) {
 	e := catalog.Entry{Key: w.Key, Revision: w.Revision, Removed: w.Removed, Withdrawn: model.Zone(w.Withdrawn)}
 	if w.Config != nil {
-		var err error
-		if e.Config, err = w.Config.configuration(); err != nil {
+		c, err := w.Config.configuration()
+		if err != nil {
 			return e, err
 		}
+		if w.Base == 0 {
+			e.Config = c
+		} else {
+			e.Delta = &catalog.Delta{Base: w.Base, Version: c.Version, IdleTimeout: c.IdleTimeout, Services: c.Services,
+				Routes: c.Routes, Removed: w.Without}
+		}
 	}
 	if s := w.Server; s != nil {
 		address, err := addressOf(s.Address)
@@ -230,7 +246,7 @@
 			return e, merry.Errorf("server %q with %d slots", s.ID, s.Slots)
 		}
 	}
-	if !e.Removed && e.Config == nil && e.Server == nil && e.Withdrawn == "" {
+	if !e.Removed && w.Config == nil && e.Server == nil && e.Withdrawn == "" {
 		e.Problem = port.ErrMalformed // the sender could not use the value either
 	}
 	return e, nil
--- a/internal/adapter/settings/steer.go
+++ b/internal/adapter/settings/steer.go
@@ -11,6 +11,8 @@
 // their packets.
 type Steer struct {
 	Instance Instance
+	// LinkMbps is the bandwidth of the instance's link; 0 if it is not stated.
+	LinkMbps float64
 	Listen   SteerAddresses
 	// Seeds are peer addresses of some instances; they may be stale.
 	Seeds    []netip.AddrPort
@@ -50,6 +52,7 @@
 var steerFields = []field[Steer]{
 	name("instance.id", func(s *Steer, v string) { s.Instance.ID = model.InstanceID(v) }),
 	name("instance.zone", func(s *Steer, v string) { s.Instance.Zone = model.Zone(v) }),
+	decimal("instance.link_mbps", 0, 1_000_000, func(s *Steer) *float64 { return &s.LinkMbps }),
 	address("listen.flows", true, func(s *Steer) *netip.AddrPort { return &s.Listen.Flows }),
 	address("listen.readiness", true, func(s *Steer) *netip.AddrPort { return &s.Listen.Readiness }),
 	address("listen.peers", true, func(s *Steer) *netip.AddrPort { return &s.Listen.Peers }),
--- a/internal/app/steer/instance.go
+++ b/internal/app/steer/instance.go
@@ -83,7 +83,8 @@
 	if i.peers, err = peerudp.Listen(s.Listen.Peers, i.recorder); err != nil {
 		return nil, merry.Prepend(err, "listen.peers")
 	}
-	self := model.Member{ID: s.Instance.ID, Zone: s.Instance.Zone, Incarnation: i.clock.Incarnation(), PeerAddress: s.Listen.Peers}
+	self := model.Member{ID: s.Instance.ID, Zone: s.Instance.Zone, Incarnation: i.clock.Incarnation(), PeerAddress: s.Listen.Peers,
+		Capacity: uint32(s.LinkMbps)}
 	i.control, err = registry.New(registry.Options{Self: self, Seeds: s.Seeds, Peers: i.peers, Clock: i.clock, Registry: p.Registry(s), Prober: p.Prober,
 		Catalog: catalog.Settings{Lifetime: s.Bounds.FlowLifetime, DefaultIdleTimeout: defaultIdleTimeout},
 		Log:     logs.Part("registry"), Seed: seed})
--- a/internal/control/registry/feed.go
+++ b/internal/control/registry/feed.go
@@ -78,15 +78,19 @@
 	m.advance(whole.Entries, whole.Revision)
 }
 
-// advance applies entries that complete the belief up to a revision.
-func (m *machine) advance(entries []catalog.Entry, revision uint64) {
-	m.apply(entries)
+// advance applies entries that complete the belief up to a revision. It reports
+// false, and applies nothing from then on, if an entry lacks its base.
+func (m *machine) advance(entries []catalog.Entry, revision uint64) bool {
+	if !m.apply(entries) {
+		return false
+	}
 	m.peers.log.Add(entries)
 	m.feed.revision = max(m.feed.revision, revision)
 	if m.behind != 0 && m.feed.revision >= m.behind {
 		m.behind = 0
 		m.confirmAll(m.checkSent)
 	}
+	return true
 }
 
 // readFailed plans the next try.
@@ -104,11 +108,13 @@
 	m.log.V(1).Info("read failed", "whole", e.whole, "error", e.err.Error())
 }
 
-func (m *machine) apply(entries []catalog.Entry) {
+func (m *machine) apply(entries []catalog.Entry) bool {
 	for i := range entries {
 		e := &entries[i]
 		switch effect := m.catalog.Apply(m.now, e); effect {
 		case catalog.Unchanged:
+		case catalog.Incomplete:
+			return false
 		case catalog.Ignored:
 			m.counts.Ignored++
 			m.log.Info("entry can't be used", "key", e.Key, "revision", e.Revision, "error", e.Problem.Error())
@@ -116,6 +122,7 @@
 			m.logEffect(effect, e)
 		}
 	}
+	return true
 }
 
 func (m *machine) logEffect(effect catalog.Effect, e *catalog.Entry) {
--- a/internal/control/registry/machine.go
+++ b/internal/control/registry/machine.go
@@ -88,6 +88,7 @@
 	random := rand.New(rand.NewPCG(o.Seed, o.Seed^0x9e3779b97f4a7c15))
 	m := &machine{zone: o.Self.Zone, random: random, log: o.Log, catalog: catalog.New(o.Catalog)}
 	m.peers = peers{seeds: o.Seeds, table: member.New(o.Self, random), calls: map[uint32]*pendingCall{},
+		heard:  map[model.Zone]model.Time{},
 		placed: placement.NewMembers([]model.Member{o.Self})}
 	return m
 }
@@ -134,12 +135,22 @@
 
 // probe starts the probes that are due.
 func (m *machine) probe() {
-	due, next := m.catalog.DueProbes(m.now, maxProbes-m.probing)
+	due, next := m.catalog.DueProbes(m.now, maxProbes-m.probing, m.heardZone)
 	for _, p := range due {
 		m.probing++
 		m.counts.Probes++
 		m.effects = append(m.effects, effProbe{p, m.now})
 	}
+	if len(due) > 0 {
+		// Another instance that answers meanwhile shows that the failure of a
+		// probe is not that of the own link or process.
+		if to, ok := m.peers.table.Random(nil); ok {
+			m.probePeer(to)
+		}
+		if near := m.peers.placed.Second(m.zone, uint64(m.now), m.peers.table.Self().ID); near != nil {
+			m.probePeer(*near)
+		}
+	}
 	if next != 0 && m.probing < maxProbes {
 		m.wake(next)
 	}
@@ -147,6 +158,9 @@
 
 func (m *machine) probed(e evProbed) {
 	m.probing--
+	if e.reach == catalog.Unreachable && m.peers.placed.Live() > 1 && m.peers.answeredAt.Before(e.sentAt) {
+		e.reach = catalog.ReachUnknown
+	}
 	if m.catalog.Probed(e.sentAt, m.now, e.server.ID, e.server.Started, e.reach) {
 		m.log.Info("server probed", "server", e.server.ID, "zone", e.server.Zone, "reach", e.reach.String(),
 			"after_ms", e.elapsed.Milliseconds())
--- a/internal/control/registry/peers.go
+++ b/internal/control/registry/peers.go
@@ -46,6 +46,7 @@
 // pendingCall is a question to another instance.
 type pendingCall struct {
 	to       model.Member
+	sentAt   model.Time
 	deadline model.Time
 	// done takes whether the answer came in time; nil for none.
 	done func(reached bool)
@@ -69,16 +70,18 @@
 	tickAt   model.Time
 	seedAt   model.Time
 	pullAt   model.Time
-	// heardOther is when a message of another zone arrived last.
-	heardOther model.Time
-	log        peer.Log
-	partial    partial
+	// answeredAt is when the last question was sent that got an answer in time.
+	answeredAt model.Time
+	// heard is when a message of a zone arrived last.
+	heard   map[model.Zone]model.Time
+	log     peer.Log
+	partial partial
 }
 
 // watches reports whether this instance watches the registry for its zone.
 func (m *machine) watches() bool {
-	ranked := m.peers.placed.Rank(nil, m.zone, placement.HashString("watcher"), 1, false)
-	return len(ranked) == 0 || ranked[0].ID == m.peers.table.Self().ID
+	watcher := m.peers.placed.Strongest(m.zone, placement.HashString("watcher"))
+	return watcher == nil || watcher.ID == m.peers.table.Self().ID
 }
 
 // message returns a message with what every message tells.
@@ -101,7 +104,7 @@
 func (m *machine) call(to model.Member, message *peer.Message, limit time.Duration, done func(reached bool)) {
 	m.peers.lastCall++
 	message.Call = m.peers.lastCall
-	m.peers.calls[message.Call] = &pendingCall{to, m.now.Add(limit), done}
+	m.peers.calls[message.Call] = &pendingCall{to, m.now, m.now.Add(limit), done}
 	m.send(to.PeerAddress, message)
 }
 
@@ -109,7 +112,7 @@
 func (m *machine) exchange() {
 	p := &m.peers
 	if p.started == 0 {
-		p.started, p.heardOther = m.now, m.now
+		p.started = m.now
 		p.tickAt = m.now.Add(time.Duration(m.random.Int64N(int64(time.Second))))
 	}
 	m.expireCalls()
@@ -221,6 +224,9 @@
 		return
 	}
 	delete(m.peers.calls, id)
+	if reached {
+		m.peers.answeredAt = max(m.peers.answeredAt, c.sentAt)
+	}
 	if c.done != nil {
 		c.done(reached)
 	}
@@ -238,9 +244,7 @@
 	for _, suspect := range p.table.TakeVerify() {
 		m.probePeer(suspect)
 	}
-	if from.Zone != m.zone {
-		p.heardOther = m.now
-	}
+	p.heard[from.Zone] = m.now
 	switch message.Kind {
 	case peer.Probe:
 		m.answerProbe(message)
@@ -319,6 +323,12 @@
 	m.send(from.PeerAddress, message)
 }
 
+// pullWhole asks another instance for a complete listing.
+func (m *machine) pullWhole(from model.Member) {
+	m.counts.Pulls++
+	m.send(from.PeerAddress, m.message(peer.Pull, from.ID))
+}
+
 // provide answers a Pull.
 func (m *machine) provide(message *peer.Message) {
 	if !m.feed.listed {
@@ -365,7 +375,9 @@
 		m.pull(message.From)
 		return
 	}
-	m.advance(message.Entries, message.Revision)
+	if !m.advance(message.Entries, message.Revision) {
+		m.pullWhole(message.From)
+	}
 }
 
 func (m *machine) takePart(message *peer.Message) {
@@ -414,7 +426,22 @@
 	return home != nil && home.ID == m.peers.table.Self().ID
 }
 
-// cutOff reports whether no instance of another zone was heard of lately.
+// heardZone reports whether a message of a zone arrived lately. The own zone can
+// always be heard.
+func (m *machine) heardZone(zone model.Zone) bool {
+	return zone == m.zone || m.now.Sub(m.peers.heard[zone]) < cutAfter
+}
+
+// cutOff reports whether instances of other zones are known and none was heard
+// lately.
 func (m *machine) cutOff() bool {
-	return m.peers.table.OtherZones() && m.now.Sub(m.peers.heardOther) > cutAfter
+	if !m.peers.table.OtherZones() || m.now.Sub(m.peers.started) < cutAfter {
+		return false
+	}
+	for zone := range m.peers.heard {
+		if zone != m.zone && m.heardZone(zone) {
+			return false
+		}
+	}
+	return true
 }
--- a/internal/core/catalog/catalog.go
+++ b/internal/core/catalog/catalog.go
@@ -58,6 +58,8 @@
 	// suspect asks for a probe; probing is set while one runs.
 	suspect, probing bool
 	probedAt         model.Time
+	// again is the pause before the next probe of an unreachable server.
+	again time.Duration
 }
 
 // Catalog merges what the registry and other instances say. It has one owner.
@@ -102,6 +104,8 @@
 	// ZoneWithdrawn and ZoneReturned are about zones out of service.
 	ZoneWithdrawn
 	ZoneReturned
+	// Incomplete means that the entry is a difference from an unknown version.
+	Incomplete
 	// Ignored means that the value can't be used; the last good one holds.
 	Ignored
 )
@@ -112,6 +116,9 @@
 	if known, ok := c.revisions[e.Key]; ok && e.Revision <= known {
 		return Unchanged
 	}
+	if !c.complete(e) {
+		return Incomplete
+	}
 	c.revisions[e.Key] = e.Revision
 	effect := c.apply(now, e)
 	c.changed = c.changed || effect != Unchanged && effect != Ignored
--- a/internal/core/catalog/reach.go
+++ b/internal/core/catalog/reach.go
@@ -23,9 +23,11 @@
 	// probeAgain is the least time between two probes of a server that flows
 	// suspect.
 	probeAgain = 500 * time.Millisecond
-	// unreachableAgain is the time between two probes of an unreachable server, so
-	// that it gets flows again soon after a partition.
+	// unreachableAgain and unreachableMost bound the time between two probes of an
+	// unreachable server, which doubles, so that it gets flows again soon after a
+	// short partition.
 	unreachableAgain = 700 * time.Millisecond
+	unreachableMost  = 4 * time.Second
 )
 
 // Probe is a probe that is due.
@@ -42,15 +44,19 @@
 }
 
 // DueProbes returns the servers to probe now, at most limit, and marks them as
-// being probed. next is when the next one is due; 0 for none.
-func (c *Catalog) DueProbes(now model.Time, limit int) (due []Probe, next model.Time) {
+// being probed. next is when the next one is due; 0 for none. Unreachable servers
+// are probed again only in zones that can be heard.
+func (c *Catalog) DueProbes(now model.Time, limit int, heard func(model.Zone) bool) (due []Probe, next model.Time) {
 	for _, s := range c.servers {
 		if s.probing || s.replaced || s.reach == Ended || !s.suspect && s.reach != Unreachable {
 			continue
 		}
 		again := probeAgain
 		if s.reach == Unreachable {
-			again = unreachableAgain
+			if !heard(s.entry.Zone) {
+				continue
+			}
+			again = s.again
 		}
 		if at := s.probedAt.Add(again); s.probedAt != 0 && at.After(now) {
 			if next == 0 || at.Before(next) {
@@ -91,6 +97,10 @@
 		reach = Unreachable
 	}
 	before := s.reach
+	s.again = min(2*s.again, unreachableMost)
+	if reach != Unreachable || before != Unreachable {
+		s.again = unreachableAgain
+	}
 	s.reach, s.reachAt = reach, sentAt
 	c.changed = true
 	return before != reach
--- a/internal/core/catalog/types.go
+++ b/internal/core/catalog/types.go
@@ -68,7 +68,10 @@
 	Revision uint64
 	Removed  bool
 
-	Config    *Configuration
+	Config *Configuration
+	// Delta leads to Config from the version before it, if that is known. An
+	// entry of another instance may have Delta only.
+	Delta     *Delta
 	Server    *ServerEntry
 	Withdrawn model.Zone
 	// Problem says why the value can't be used.
--- a/internal/core/model/model.go
+++ b/internal/core/model/model.go
@@ -211,6 +211,9 @@
 	// RequestAddress is the HTTP endpoint for callers.
 	RequestAddress netip.AddrPort
 	Liveness       Liveness
+	// Capacity is the bandwidth of the instance's link in Mbit/s, or 0 if it is
+	// not stated. Instances with more take the duties for their zone.
+	Capacity uint32
 }
 
 // FlowKey identifies a flow within the whole system.
--- a/internal/core/peer/message.go
+++ b/internal/core/peer/message.go
@@ -69,6 +69,8 @@
 // size estimates the encoded size of an entry in bytes.
 func size(e *catalog.Entry) int {
 	switch {
+	case e.Delta != nil:
+		return 50 + 32*len(e.Delta.Routes) + 12*len(e.Delta.Removed) + 40*len(e.Delta.Services)
 	case e.Config != nil:
 		return 50 + 32*len(e.Config.Routes) + 40*len(e.Config.Services)
 	case e.Server != nil:
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -110,6 +110,15 @@
 	return n
 }
 
+// Live returns the number of live instances.
+func (m *Members) Live() int {
+	n := 0
+	for zone := range m.zones {
+		n += m.LiveIn(zone)
+	}
+	return n
+}
+
 // Owner returns the live instance of the zone with the highest score for the
 // key, or nil if the zone has none.
 func (m *Members) Owner(zone model.Zone, key uint64) *model.Member {
@@ -128,6 +137,24 @@
 	return &m.all[best]
 }
 
+// Strongest returns the live instance of the zone with the largest capacity, by
+// score for the key among equals, or nil if the zone has none.
+func (m *Members) Strongest(zone model.Zone, key uint64) *model.Member {
+	var best *model.Member
+	bestScore := uint64(0)
+	for _, i := range m.zones[zone] {
+		x := &m.all[i]
+		if x.Liveness != model.Live {
+			continue
+		}
+		score := Mix(key, m.seeds[i])
+		if best == nil || x.Capacity > best.Capacity || x.Capacity == best.Capacity && score > bestScore {
+			best, bestScore = x, score
+		}
+	}
+	return best
+}
+
 // Second returns the live instance of the zone with the highest score for the
 // key apart from the given one, or nil if there is none.
 func (m *Members) Second(zone model.Zone, key uint64, except model.InstanceID) *model.Member {
