--- a/internal/app/steer/instance.go
+++ b/internal/app/steer/instance.go
@@ -107,7 +107,10 @@
 }
 
 // Ready reports whether the instance takes new flows.
-func (i *Instance) Ready() bool { return !i.leaving.Load() && i.control.Snapshot() != nil }
+func (i *Instance) Ready() bool {
+	s := i.control.Snapshot()
+	return !i.leaving.Load() && s != nil && s.Reaches()
+}
 
 // part is a piece of the instance that runs until its context ends.
 type part struct {
--- a/internal/core/steering/types.go
+++ b/internal/core/steering/types.go
@@ -8,6 +8,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/savorytiller/savorytiller/internal/core/model"
@@ -137,6 +138,22 @@
 	Servers       []*Server
 }
 
+// Reaches reports whether every service that has servers has one that this
+// instance can probably reach. While it has none, other instances serve the
+// callers of the zone better.
+func (s *Snapshot) Reaches() bool {
+	for _, service := range s.Services {
+		if len(service.Servers) > 0 && !slices.ContainsFunc(service.Servers, s.inReach) {
+			return false
+		}
+	}
+	return true
+}
+
+func (s *Snapshot) inReach(server *Server) bool {
+	return server.Reach != Unreachable && (server.Zone == s.Zone || !s.CutOff)
+}
+
 // Snapshot is the immutable state that the control goroutine publishes and the
 // traffic goroutines read.
 type Snapshot struct {
