Serve metrics and status; take changed settings into force while running

Counters, latency histograms by service and route, and the beliefs with their ages are served at listen.metrics.

--- a/cmd/savorysteer/main.go
+++ b/cmd/savorysteer/main.go
@@ -69,16 +69,17 @@
 	}
 	leave, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	signal.Ignore(syscall.SIGHUP)
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
 	instance, err := steer.New(s, steer.Platform{
 		Codec: func(s *settings.Steer) port.PacketCodec {
 			return platform.PacketCodec{CallerPort: s.Listen.Flows.Port()}
 		},
 		Registry: func(s *settings.Steer) port.Registry { return platform.NewStore(s.Registry.Address, connectLimit) },
 		Prober:   platform.NewProber(),
-	}, logs)
+	}, logs, out.LeftOut)
 	if err == nil {
-		err = instance.Run(leave)
+		err = instance.Run(leave, steer.Reloader{Path: f.Config, Hangup: hangup})
 	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- /dev/null
+++ b/internal/adapter/steerstatus/status.go
@@ -0,0 +1,167 @@
+// Package steerstatus serves the state and the metrics of an instance that
+// steers flows by tokens: counters and histograms as text, the beliefs with
+// their ages as JSON.
+package steerstatus
+
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/savorytiller/savorytiller/internal/adapter/metrics"
+	"github.com/savorytiller/savorytiller/internal/core/model"
+	"github.com/savorytiller/savorytiller/internal/core/steering"
+	"github.com/savorytiller/savorytiller/internal/port"
+)
+
+// Paths of the endpoints.
+const (
+	MetricsPath = "/metrics"
+	StatusPath  = "/status"
+)
+
+// Limits of the endpoints, so that a slow or broken client cannot hold memory.
+const (
+	headerTimeout = 2 * time.Second
+	answerTimeout = 5 * time.Second
+)
+
+// Status is what an instance believes.
+type Status struct {
+	Instance string `json:"instance"`
+	Zone     string `json:"zone"`
+	Ready    bool   `json:"ready"`
+	// Version is the version of the configuration in force; 0 for none.
+	Version uint64 `json:"config_version"`
+	Routes  int    `json:"routes"`
+	// ConfirmedMsAgo is the age of the newest confirmation that the registry holds
+	// nothing newer.
+	ConfirmedMsAgo int64 `json:"confirmed_ms_ago"`
+	// CutOff is set while no instance of another zone can be heard.
+	CutOff     bool     `json:"cut_off"`
+	Neighbours int      `json:"instances_in_zone"`
+	Flows      int64    `json:"flows"`
+	Servers    []Server `json:"servers"`
+}
+
+// Server is what an instance believes of a backend server.
+type Server struct {
+	ID      string `json:"id"`
+	Service string `json:"service"`
+	Zone    string `json:"zone"`
+	Address string `json:"address"`
+	// State is active, draining, cold, unreachable or departed.
+	State string `json:"state"`
+	// ProbedMsAgo is the age of the last probe; -1 if there was none.
+	ProbedMsAgo int64  `json:"probed_ms_ago"`
+	Token       uint32 `json:"token"`
+}
+
+// Source gives what the endpoints show. Its functions are safe for concurrent
+// use.
+type Source struct {
+	Instance  string
+	Clock     port.Clock
+	Snapshots port.SnapshotReader
+	Ready     func() bool
+	Flows     func() int64
+	Metrics   func() metrics.Snapshot
+	// Gauges adds values of the process by name.
+	Gauges func() map[string]float64
+}
+
+// Server returns the HTTP server of the endpoints.
+func (s *Source) Server() *http.Server {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+MetricsPath, func(w http.ResponseWriter, _ *http.Request) { s.writeMetrics(w) })
+	mux.HandleFunc("GET "+StatusPath, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		// An error means that the client has left.
+		_ = json.NewEncoder(w).Encode(s.status())
+	})
+	return &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout, WriteTimeout: answerTimeout, IdleTimeout: answerTimeout}
+}
+
+// Serve answers until the server is closed.
+func Serve(server *http.Server, l net.Listener) error {
+	if err := server.Serve(l); err != http.ErrServerClosed {
+		return err
+	}
+	return nil
+}
+
+func (s *Source) status() Status {
+	out := Status{Instance: s.Instance, Ready: s.Ready(), Flows: s.Flows(), Servers: []Server{}}
+	v, now := s.Snapshots.Snapshot(), s.Clock.Now()
+	if v == nil {
+		return out
+	}
+	out.Zone, out.Version, out.Routes = string(v.Zone), v.Version, len(v.Routes)
+	out.ConfirmedMsAgo, out.CutOff, out.Neighbours = now.Sub(v.ConfirmedAt).Milliseconds(), v.CutOff, v.Neighbours
+	for _, server := range v.Servers.All() {
+		probed := int64(-1)
+		if server.ReachAt != 0 {
+			probed = now.Sub(server.ReachAt).Milliseconds()
+		}
+		out.Servers = append(out.Servers, Server{ID: string(server.ID), Service: server.Service, Zone: string(server.Zone),
+			Address: server.Address.String(), State: state(server), ProbedMsAgo: probed, Token: uint32(server.Token)})
+	}
+	return out
+}
+
+func state(s *steering.Server) string {
+	switch {
+	case s.Departed:
+		return "departed"
+	case s.Reach == steering.Unreachable:
+		return "unreachable"
+	case s.State == model.ServerDraining:
+		return "draining"
+	case s.ColdUntil != 0:
+		return "cold"
+	default:
+		return "active"
+	}
+}
+
+// writeMetrics writes one line for each value, sorted within its kind.
+func (s *Source) writeMetrics(w http.ResponseWriter) {
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	m := s.Metrics()
+	for _, c := range m.Counters {
+		fmt.Fprintf(w, "count{part=%q,reason=%q} %d\n", c.Part, c.Reason, c.Count)
+	}
+	for _, h := range m.Histograms {
+		labels := fmt.Sprintf("metric=%q,tenant=%q,class=%q", h.Metric, h.Tenant, h.Class)
+		fmt.Fprintf(w, "latency_count{%s} %d\n", labels, h.Count)
+		fmt.Fprintf(w, "latency_ms{%s,quantile=\"0.5\"} %.1f\n", labels, h.P50Ms)
+		fmt.Fprintf(w, "latency_ms{%s,quantile=\"0.95\"} %.1f\n", labels, h.P95Ms)
+		fmt.Fprintf(w, "latency_ms{%s,quantile=\"0.99\"} %.1f\n", labels, h.P99Ms)
+		fmt.Fprintf(w, "latency_ms{%s,quantile=\"1\"} %.1f\n", labels, h.MaxMs)
+	}
+	status := s.status()
+	gauges := s.Gauges()
+	gauges["flows"] = float64(status.Flows)
+	gauges["config_version"] = float64(status.Version)
+	gauges["confirmed_age_ms"] = float64(status.ConfirmedMsAgo)
+	gauges["instances_in_zone"] = float64(status.Neighbours)
+	states := map[string]int{}
+	for i := range status.Servers {
+		states[status.Servers[i].State]++
+	}
+	for state, n := range states {
+		gauges["servers_"+state] = float64(n)
+	}
+	names := make([]string, 0, len(gauges))
+	for name := range gauges {
+		names = append(names, name)
+	}
+	slices.SortFunc(names, cmp.Compare)
+	for _, name := range names {
+		fmt.Fprintf(w, "%s %g\n", name, gauges[name])
+	}
+}
--- a/internal/app/steer/instance.go
+++ b/internal/app/steer/instance.go
@@ -20,6 +20,7 @@
 	"github.com/savorytiller/savorytiller/internal/adapter/peerudp"
 	"github.com/savorytiller/savorytiller/internal/adapter/readiness"
 	"github.com/savorytiller/savorytiller/internal/adapter/settings"
+	"github.com/savorytiller/savorytiller/internal/adapter/steerstatus"
 	"github.com/savorytiller/savorytiller/internal/adapter/udp"
 	"github.com/savorytiller/savorytiller/internal/control/registry"
 	"github.com/savorytiller/savorytiller/internal/core/catalog"
@@ -63,7 +64,8 @@
 
 // Instance is an assembled instance that is not running yet.
 type Instance struct {
-	settings *settings.Steer
+	settings atomic.Pointer[settings.Steer]
+	platform Platform
 	log      logr.Logger
 	clock    *clock.System
 	recorder *metrics.Recorder
@@ -73,11 +75,17 @@
 	listener net.Listener
 	ready    *http.Server
 	leaving  atomic.Bool
+	// status serves the endpoints for operators; nil without an address for them.
+	status         *http.Server
+	statusListener net.Listener
+	leftOut        func() uint64
 }
 
-// New opens the sockets and assembles the instance.
-func New(s *settings.Steer, p Platform, logs *logging.Logs) (*Instance, error) {
-	i := &Instance{settings: s, log: logs.Part("instance"), clock: clock.NewSystem(), recorder: metrics.New(decisionsKept)}
+// New opens the sockets and assembles the instance. leftOut returns the number of
+// log lines that were left out.
+func New(s *settings.Steer, p Platform, logs *logging.Logs, leftOut func() uint64) (*Instance, error) {
+	i := &Instance{platform: p, leftOut: leftOut, log: logs.Part("instance"), clock: clock.NewSystem(), recorder: metrics.New(decisionsKept)}
+	i.settings.Store(s)
 	seed := rand.Uint64() // instances must not choose in step
 	var err error
 	if i.peers, err = peerudp.Listen(s.Listen.Peers, i.recorder); err != nil {
@@ -103,7 +111,36 @@
 		Recorder: i.recorder, Log: logs.Part("flow"),
 		Steerer: steering.NewSteerer(rand.New(rand.NewPCG(seed, 1)), s.Bounds.ColdMargin)})
 	i.ready = readiness.Server(i.Ready)
-	return i, nil
+	return i, i.newStatus()
+}
+
+// newStatus opens the endpoints for operators, if the settings have an address.
+func (i *Instance) newStatus() (err error) {
+	s := i.settings.Load()
+	at := s.Listen.Metrics
+	if !at.IsValid() {
+		return nil
+	}
+	if i.statusListener, err = net.Listen("tcp4", at.String()); err != nil {
+		return merry.Prepend(err, "listen.metrics")
+	}
+	source := &steerstatus.Source{Instance: string(s.Instance.ID), Clock: i.clock, Snapshots: i.control,
+		Ready: i.Ready, Flows: i.worker.Flows, Metrics: i.recorder.Snapshot, Gauges: i.gauges}
+	i.status = source.Server()
+	return nil
+}
+
+// gauges returns the counters of the control goroutine.
+func (i *Instance) gauges() map[string]float64 {
+	out := map[string]float64{"log_lines_left_out": float64(i.leftOut())}
+	if c := i.control.Counts(); c != nil {
+		for name, n := range map[string]uint64{"lists": c.Lists, "watches": c.Watches, "checks": c.Checks,
+			"failures": c.Failures, "compactions": c.Compactions, "missed_changes": c.Missed,
+			"unusable_entries": c.Ignored, "probes": c.Probes, "pulls": c.Pulls} {
+			out["registry_"+name] = float64(n)
+		}
+	}
+	return out
 }
 
 // Ready reports whether the instance takes new flows.
@@ -119,14 +156,18 @@
 }
 
 // Run serves until leave ends, then shuts down gracefully and returns nil.
-func (i *Instance) Run(leave context.Context) error {
+func (i *Instance) Run(leave context.Context, r Reloader) error {
 	ctx, cancel := context.WithCancel(context.WithoutCancel(leave))
 	parts := []part{
 		{"control", i.control.Run},
 		{"peers", func(ctx context.Context) error { return i.peers.Serve(ctx, i.control.Receive) }},
+		{"settings", func(ctx context.Context) error { return i.reload(ctx, r) }},
 		{"traffic", i.worker.Run},
 		{"readiness", func(context.Context) error { return readiness.Serve(i.ready, i.listener) }},
 	}
+	if i.status != nil {
+		parts = append(parts, part{"status", func(context.Context) error { return steerstatus.Serve(i.status, i.statusListener) }})
+	}
 	ended := make(chan error, len(parts))
 	var group sync.WaitGroup
 	for _, p := range parts {
@@ -137,8 +178,9 @@
 			}
 		})
 	}
-	i.log.Info("started", "id", i.settings.Instance.ID, "zone", i.settings.Instance.Zone,
-		"flows", i.settings.Listen.Flows.String(), "registry", i.settings.Registry.Address.String())
+	s := i.settings.Load()
+	i.log.Info("started", "id", s.Instance.ID, "zone", s.Instance.Zone,
+		"flows", s.Listen.Flows.String(), "registry", s.Registry.Address.String())
 	var err error
 	select {
 	case err = <-ended:
@@ -147,7 +189,11 @@
 		err = i.shutDown(ended)
 	}
 	cancel()
-	_ = i.ready.Close() // the process ends, so the error has no consequence
+	// The process ends, so errors have no consequence.
+	_ = i.ready.Close()
+	if i.status != nil {
+		_ = i.status.Close()
+	}
 	waitFor(&group, endLimit)
 	i.log.Info("stopped")
 	return err
@@ -171,7 +217,7 @@
 		now := i.clock.Now()
 		since := now.Sub(begun)
 		quiet := now.Sub(max(i.worker.LastPacket(), begun))
-		if since >= i.settings.Bounds.StopGrace-stopMargin || since >= stopLeast && quiet >= stopQuiet {
+		if since >= i.settings.Load().Bounds.StopGrace-stopMargin || since >= stopLeast && quiet >= stopQuiet {
 			i.log.Info("traffic has ended", "after_ms", since.Milliseconds(), "quiet_ms", quiet.Milliseconds())
 			return nil
 		}
--- a/internal/control/registry/control.go
+++ b/internal/control/registry/control.go
@@ -82,8 +82,23 @@
 // like one that the network drops.
 func (c *Control) Receive(m *peer.Message) { c.offer(evMessage{m}) }
 
+// SetRegistry changes the client of the registry.
+func (c *Control) SetRegistry(r port.Registry) { c.post(evRegistry{r}) }
+
+// SetSeeds changes the peer addresses that are tried while no other instance is
+// known.
+func (c *Control) SetSeeds(seeds []netip.AddrPort) { c.post(evSeeds{seeds}) }
+
+// post posts an event and waits for space; it gives up once Run has returned.
+func (c *Control) post(e event) {
+	select {
+	case c.events <- e:
+	case <-c.stopped:
+	}
+}
+
 // Leave announces that this instance stops.
-func (c *Control) Leave() { c.offer(evLeave{}) }
+func (c *Control) Leave() { c.post(evLeave{}) }
 
 // offer posts an event unless the queue is full.
 func (c *Control) offer(e event) {
@@ -114,6 +129,10 @@
 		case <-timer.C:
 		}
 		now := c.options.Clock.Now()
+		if r, ok := e.(evRegistry); ok {
+			c.options.Registry = r.registry
+			e = nil
+		}
 		c.machine.handle(now, e)
 		for _, f := range c.machine.takeEffects() {
 			c.execute(ctx, f)
@@ -139,11 +158,7 @@
 		f.run(ctx, &c.options) // does not block
 		return
 	}
-	calls := c.calls
-	go func() {
-		select {
-		case c.events <- f.run(calls, &c.options):
-		case <-c.stopped:
-		}
-	}()
+	// A copy, because the options may change while the call runs.
+	calls, options := c.calls, c.options
+	go func() { c.post(f.run(calls, &options)) }()
 }
--- a/internal/control/registry/events.go
+++ b/internal/control/registry/events.go
@@ -8,6 +8,7 @@
 	"github.com/savorytiller/savorytiller/internal/core/catalog"
 	"github.com/savorytiller/savorytiller/internal/core/model"
 	"github.com/savorytiller/savorytiller/internal/core/peer"
+	"github.com/savorytiller/savorytiller/internal/port"
 )
 
 // event is a result that the control goroutine takes.
@@ -36,6 +37,12 @@
 // evMessage is a message of another instance.
 type evMessage struct{ message *peer.Message }
 
+// evRegistry brings another client of the registry.
+type evRegistry struct{ registry port.Registry }
+
+// evSeeds brings other seeds.
+type evSeeds struct{ seeds []netip.AddrPort }
+
 // evLeave says that this instance is told to stop.
 type evLeave struct{}
 
--- a/internal/control/registry/machine.go
+++ b/internal/control/registry/machine.go
@@ -103,6 +103,8 @@
 		m.checked(e)
 	case evMessage:
 		m.receive(e.message)
+	case evSeeds:
+		m.peers.seeds = e.seeds
 	case evLeave:
 		m.peers.table.Leave()
 	case evSuspect:
--- a/internal/core/steering/flows.go
+++ b/internal/core/steering/flows.go
@@ -115,9 +115,10 @@
 }
 
 // follow updates a flow's record by a packet after the first one.
-func (s *Steerer) follow(f *flow, p *Packet, now model.Time) {
+func (s *Steerer) follow(f *flow, p *Packet, now model.Time, v *Verdict) {
 	f.seenAt = now
 	if f.stage == opening {
+		v.Handshake = now.Sub(f.sentAt)
 		f.stage = open
 		f.end, f.acknowledged = p.Sequence, p.Acknowledged
 		f.target.answered(now)
@@ -126,6 +127,9 @@
 	if after(p.Acknowledged, f.acknowledged) {
 		f.acknowledged, f.repeated = p.Acknowledged, false
 		f.target.answered(now)
+		if f.busy {
+			v.Answer = now.Sub(f.sentAt)
+		}
 		s.setBusy(f, false)
 	}
 	if end := p.Sequence + uint32(p.Length); p.Length > 0 {
--- a/internal/core/steering/steerer.go
+++ b/internal/core/steering/steerer.go
@@ -32,6 +32,11 @@
 	Server *Server
 	// Opened is set if the packet was placed as the first one of a flow.
 	Opened bool
+	// Route is the route of the flow, if the configuration has it.
+	Route *Route
+	// Handshake is the time from a SYN to the caller's next packet, and Answer that
+	// from a request to the acknowledgement of its answer; 0 if the packet ends neither.
+	Handshake, Answer time.Duration
 	// Load is the server's requests in progress by way of this instance before
 	// the flow was placed.
 	Load int
@@ -60,7 +65,7 @@
 		loads: map[string]*serviceLoad{}}
 }
 
-// Flows returns the number of records.
+// Flows returns the number of records. Only the owner may call it.
 func (s *Steerer) Flows() int { return len(s.flows) }
 
 // Packet decides about a packet of a caller. It allocates nothing for a flow
@@ -157,7 +162,7 @@
 	}
 	load := t.busy
 	s.open(p, f, t, now)
-	return Verdict{Verb: Deliver, Reason: reason, Server: t.server, Opened: true, Load: load}
+	return Verdict{Verb: Deliver, Reason: reason, Server: t.server, Opened: true, Route: route, Load: load}
 }
 
 // open records a flow that begins at a server.
@@ -215,10 +220,11 @@
 	if f == nil && p.Flags&(FIN|RST) == 0 {
 		f = s.record(p, t, now)
 	}
+	v := Verdict{Verb: Deliver, Reason: model.ReasonKnownFlow, Server: t.server, Route: route}
 	if f != nil {
-		s.follow(f, p, now)
+		s.follow(f, p, now, &v)
 	}
-	return Verdict{Verb: Deliver, Reason: model.ReasonKnownFlow, Server: t.server}
+	return v
 }
 
 // alternative reports whether another server of the service may be reachable.
--- a/internal/traffic/packets/worker.go
+++ b/internal/traffic/packets/worker.go
@@ -47,6 +47,8 @@
 	packet  steering.Packet
 	// last is when the last packet arrived, for those that wait until none does.
 	last atomic.Int64
+	// flows is the number of flow records.
+	flows atomic.Int64
 }
 
 // New returns a worker that does not run yet.
@@ -55,6 +57,9 @@
 // LastPacket returns when the last packet arrived.
 func (w *Worker) LastPacket() model.Time { return model.Time(w.last.Load()) }
 
+// Flows returns the number of flow records.
+func (w *Worker) Flows() int64 { return w.flows.Load() }
+
 // Run handles packets until the context ends, which closes the socket.
 func (w *Worker) Run(ctx context.Context) error {
 	stop := context.AfterFunc(ctx, func() { _ = w.options.Socket.Close() })
@@ -93,12 +98,27 @@
 		datagram, caller := o.Codec.Reset(w.reset[:], p)
 		w.send(caller, datagram)
 	}
+	w.flows.Store(int64(o.Steerer.Flows()))
+	w.observe(&v)
 	for suspect := o.Steerer.TakeSuspect(); suspect != nil; suspect = o.Steerer.TakeSuspect() {
 		o.Suspects.Suspect(suspect)
 	}
 	w.log(&v)
 }
 
+// observe records the durations that a packet ends.
+func (w *Worker) observe(v *steering.Verdict) {
+	if v.Route == nil || v.Server == nil {
+		return
+	}
+	if v.Handshake > 0 {
+		w.options.Recorder.Observe("handshake", v.Server.Service, v.Route.Name, v.Handshake)
+	}
+	if v.Answer > 0 {
+		w.options.Recorder.Observe("answer", v.Server.Service, v.Route.Name, v.Answer)
+	}
+}
+
 func (w *Worker) send(to netip.AddrPort, datagram []byte) {
 	if err := w.options.Socket.SendPacket(to, datagram); err != nil {
 		w.options.Recorder.Count(part, model.ReasonSendFailed)
