--- /dev/null
+++ b/internal/control/registry/machine_test.go
@@ -0,0 +1,552 @@
+package registry
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/stretchr/testify/require"
+
+	"github.com/savorytiller/savorytiller/internal/core/catalog"
+	"github.com/savorytiller/savorytiller/internal/core/model"
+	"github.com/savorytiller/savorytiller/internal/core/peer"
+	"github.com/savorytiller/savorytiller/internal/core/steering"
+	"github.com/savorytiller/savorytiller/internal/port"
+)
+
+const (
+	ms     = model.Time(time.Millisecond)
+	second = 1000 * ms
+)
+
+// store is a registry in simulated time.
+type store struct {
+	revision uint64
+	entries  map[string]catalog.Entry
+	history  []catalog.Entry
+	// compacted is the revision up to which the history is gone.
+	compacted uint64
+	// down refuses calls of instances; deaf makes watches hear nothing.
+	down func(node int) bool
+	deaf bool
+	// calls counts by kind.
+	calls map[string]int
+}
+
+func (s *store) put(e catalog.Entry) uint64 {
+	s.revision++
+	e.Revision = s.revision
+	s.history = append(s.history, e)
+	if e.Removed {
+		delete(s.entries, e.Key)
+	} else {
+		s.entries[e.Key] = e
+	}
+	return s.revision
+}
+
+func (s *store) config(version uint64, routes int) uint64 {
+	c := &catalog.Configuration{Version: version, Services: []catalog.Service{{Name: "s"}}}
+	for i := range routes {
+		c.Routes = append(c.Routes, catalog.Route{Name: fmt.Sprint(i), Endpoint: steering.Endpoint{Address: 1, Port: uint16(i)},
+			Shares: []catalog.Share{{Service: "s", Weight: 1}}})
+	}
+	return s.put(catalog.Entry{Key: "config", Config: c})
+}
+
+func (s *store) server(id string) uint64 {
+	return s.put(catalog.Entry{Key: "servers/" + id, Server: &catalog.ServerEntry{ID: model.ServerID(id), Number: 1,
+		Address: netip.MustParseAddrPort("10.0.0.1:80"), Service: "s", Zone: "z0", Slots: 4}})
+}
+
+func (s *store) list() catalog.Changes {
+	out := catalog.Changes{Revision: s.revision}
+	for _, e := range s.entries {
+		out.Entries = append(out.Entries, e)
+	}
+	slices.SortFunc(out.Entries, func(a, b catalog.Entry) int { return cmp.Compare(a.Key, b.Key) })
+	return out
+}
+
+func (s *store) since(after uint64) (catalog.Changes, error) {
+	if after < s.compacted {
+		return catalog.Changes{}, port.ErrCompacted
+	}
+	out := catalog.Changes{Revision: s.revision}
+	for _, e := range s.history {
+		if e.Revision > after {
+			out.Entries = append(out.Entries, e)
+		}
+	}
+	return out, nil
+}
+
+// delivery is an event on its way to an instance.
+type delivery struct {
+	at   model.Time
+	node int
+	e    event
+}
+
+// watch is a watch that waits at the store.
+type watch struct {
+	node       int
+	generation int
+	after      uint64
+	until      model.Time
+}
+
+// fleet drives the machines of instances with a store and a network.
+type fleet struct {
+	t        *testing.T
+	store    *store
+	nodes    []*machine
+	alive    []bool
+	byAddr   map[netip.AddrPort]int
+	queue    []delivery
+	watches  []watch
+	now      model.Time
+	cut      func(from, to int) bool
+	random   *rand.Rand
+	loss     float64
+	snapshot []*steering.Snapshot
+	messages int
+}
+
+// newFleet returns instances in zones z0, z1, ... that know the first as seed.
+func newFleet(t *testing.T, n, zones int) *fleet {
+	f := &fleet{t: t, byAddr: map[netip.AddrPort]int{}, random: rand.New(rand.NewPCG(1, uint64(n))),
+		store: &store{entries: map[string]catalog.Entry{}, calls: map[string]int{}},
+		alive: make([]bool, n), snapshot: make([]*steering.Snapshot, n), nodes: make([]*machine, n)}
+	for i := range n {
+		f.start(i, zones)
+	}
+	return f
+}
+
+func (f *fleet) start(i, zones int) {
+	at := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, 0, byte(i)}), 7000)
+	f.byAddr[at] = i
+	f.nodes[i] = newMachine(Options{Seed: uint64(i + 1), Log: logr.Discard(), Catalog: catalog.Settings{Lifetime: time.Minute},
+		Seeds: []netip.AddrPort{netip.MustParseAddrPort("10.1.0.0:7000")},
+		Self: model.Member{ID: model.InstanceID(fmt.Sprintf("n%02d", i)), Zone: model.Zone(fmt.Sprintf("z%d", i%zones)),
+			Incarnation: model.Incarnation(f.now + 1), PeerAddress: at}})
+	f.alive[i], f.snapshot[i] = true, nil
+	f.post(f.now+model.Time(f.random.IntN(300))*ms, i, nil)
+}
+
+func (f *fleet) kill(i int) {
+	f.alive[i] = false
+	f.watches = slices.DeleteFunc(f.watches, func(w watch) bool { return w.node == i })
+	f.queue = slices.DeleteFunc(f.queue, func(d delivery) bool { return d.node == i })
+}
+
+func (f *fleet) post(at model.Time, node int, e event) {
+	f.queue = append(f.queue, delivery{at, node, e})
+}
+
+// run advances the time.
+func (f *fleet) run(d time.Duration) {
+	end := f.now.Add(d)
+	for {
+		f.wakeWatches()
+		next := -1
+		for i := range f.queue {
+			if f.queue[i].at <= end && (next < 0 || f.queue[i].at < f.queue[next].at) {
+				next = i
+			}
+		}
+		if next < 0 {
+			f.now = end
+			return
+		}
+		e := f.queue[next]
+		f.queue = slices.Delete(f.queue, next, next+1)
+		f.now = max(f.now, e.at)
+		if f.alive[e.node] {
+			f.step(e.node, e.e)
+		}
+	}
+}
+
+// timer marks the wake-up of an instance, of which only the last one counts.
+type timer struct{}
+
+func (f *fleet) step(node int, e event) {
+	m := f.nodes[node]
+	if _, ok := e.(timer); ok {
+		e = nil
+	}
+	m.handle(f.now, e)
+	for _, x := range m.takeEffects() {
+		f.effect(node, x)
+	}
+	if s := m.takeSnapshot(); s != nil {
+		if old := f.snapshot[node]; old != nil {
+			require.GreaterOrEqual(f.t, s.Version, old.Version, "instance %d went back", node)
+		}
+		f.snapshot[node] = s
+	}
+	f.queue = slices.DeleteFunc(f.queue, func(d delivery) bool {
+		_, ok := d.e.(timer)
+		return ok && d.node == node
+	})
+	f.post(m.next, node, timer{})
+}
+
+func (f *fleet) effect(node int, x effect) {
+	down := f.store.down != nil && f.store.down(node)
+	switch x := x.(type) {
+	case effList:
+		f.store.calls["list"]++
+		e := evChanges{generation: x.generation, whole: true, changes: f.store.list()}
+		if down {
+			e = evChanges{generation: x.generation, whole: true, err: port.ErrUnavailable}
+		}
+		f.post(f.now+5*ms, node, e)
+	case effCheck:
+		f.store.calls["check"]++
+		e := evChecked{revision: f.store.revision}
+		if down {
+			e = evChecked{err: port.ErrUnavailable}
+		}
+		f.post(f.now+5*ms, node, e)
+	case effWatch:
+		f.store.calls["watch"]++
+		if down {
+			f.post(f.now+5*ms, node, evChanges{generation: x.generation, err: port.ErrUnavailable})
+			return
+		}
+		f.watches = append(f.watches, watch{node, x.generation, x.after, f.now.Add(watchWait)})
+		f.post(f.now.Add(watchWait), node, nil)
+	case effCancel:
+		f.watches = slices.DeleteFunc(f.watches, func(w watch) bool { return w.node == node })
+	case effSend:
+		f.messages++
+		to, ok := f.byAddr[x.to]
+		if !ok || f.cut != nil && f.cut(node, to) || f.random.Float64() < f.loss {
+			return
+		}
+		copied := *x.message
+		copied.Entries = slices.Clone(x.message.Entries)
+		f.post(f.now+ms+model.Time(f.random.IntN(4))*ms, to, evMessage{&copied})
+	}
+}
+
+// wakeWatches answers the watches that have something to tell.
+func (f *fleet) wakeWatches() {
+	f.watches = slices.DeleteFunc(f.watches, func(w watch) bool {
+		changes, err := f.store.since(w.after)
+		over := !f.now.Before(w.until)
+		if f.store.deaf || err == nil && len(changes.Entries) == 0 && !over {
+			return false
+		}
+		f.post(f.now+5*ms, w.node, evChanges{generation: w.generation, changes: changes, err: err})
+		return true
+	})
+}
+
+// versions returns the versions in force at the living instances.
+func (f *fleet) versions() map[uint64]int {
+	out := map[uint64]int{}
+	for i, s := range f.snapshot {
+		if f.alive[i] {
+			if s == nil {
+				out[0]++
+			} else {
+				out[s.Version]++
+			}
+		}
+	}
+	return out
+}
+
+// everywhere returns how long it takes until a version is in force everywhere.
+func (f *fleet) everywhere(version uint64, limit time.Duration) time.Duration {
+	begun := f.now
+	for f.now.Sub(begun) < limit {
+		f.run(10 * time.Millisecond)
+		if v := f.versions(); len(v) == 1 && v[version] > 0 {
+			return f.now.Sub(begun)
+		}
+	}
+	f.t.Fatalf("version %d is not in force after %v: %v", version, limit, f.versions())
+	return 0
+}
+
+// settled returns a fleet that has run for some seconds with configuration 3.
+func settled(t *testing.T, n, zones int) *fleet {
+	f := newFleet(t, n, zones)
+	f.store.config(3, 20)
+	f.store.server("a")
+	f.run(10 * time.Second)
+	require.Equal(t, map[uint64]int{3: n}, f.versions())
+	return f
+}
+
+// Guards against an instance that the seeds do not lead to the others.
+func TestInstancesFindEachOtherFromOneSeed(t *testing.T) {
+	f := settled(t, 20, 4)
+	for i, m := range f.nodes {
+		require.Equal(t, 20, m.peers.placed.Live(), "instance %d", i)
+	}
+}
+
+// Guards against calls to the registry that grow with the fleet, and against a
+// configuration that takes long to reach an instance that does not watch.
+func TestWatchersOfZonesTellTheOthers(t *testing.T) {
+	f := settled(t, 40, 4)
+	clear(f.store.calls)
+	f.run(10 * time.Second)
+	require.LessOrEqual(t, f.store.calls["check"]+f.store.calls["watch"]+f.store.calls["list"], 4*10*2,
+		"4 watchers for 10 s, of 40 instances: %v", f.store.calls)
+	f.store.config(5, 25)
+	require.LessOrEqual(t, f.everywhere(5, 3*time.Second), time.Second)
+}
+
+// Guards against a change that a watch does not deliver: around a compaction it
+// hears nothing although changes are made.
+func TestChangesThatWatchesMissAreFoundByChecks(t *testing.T) {
+	f := settled(t, 7, 3)
+	f.store.deaf = true
+	f.store.config(5, 20)
+	require.LessOrEqual(t, f.everywhere(5, 3*time.Second), 2500*time.Millisecond)
+	f.run(2 * time.Second)
+	f.store.config(6, 20)
+	f.store.compacted = f.store.revision
+	f.store.deaf = false
+	require.LessOrEqual(t, f.everywhere(6, 3*time.Second), 2500*time.Millisecond)
+}
+
+// Guards against a configuration that goes back on an instance, whatever is lost
+// or repeated between instances. The rig checks each snapshot.
+func TestNeverRevertsUnderLossAndRestarts(t *testing.T) {
+	f := settled(t, 12, 3)
+	f.loss = 0.2
+	for version := uint64(5); version < 25; version++ {
+		f.store.config(version, 20+int(version))
+		if version%4 == 0 {
+			i := int(version) % 12
+			f.kill(i)
+			f.start(i, 3)
+		}
+		f.run(300 * time.Millisecond)
+	}
+	require.LessOrEqual(t, f.everywhere(24, 10*time.Second), 3*time.Second)
+}
+
+// Guards against a zone that learns nothing because its watcher has died.
+func TestDeadWatcherIsReplacedInTime(t *testing.T) {
+	f := settled(t, 12, 3)
+	for i := range f.nodes {
+		if f.nodes[i].watches() {
+			f.kill(i)
+		}
+	}
+	f.store.config(5, 20)
+	require.LessOrEqual(t, f.everywhere(5, 5*time.Second), 2500*time.Millisecond)
+}
+
+// Guards against an instance that is cut from the registry and has old news,
+// while its neighbours have new ones.
+func TestInstancesWithoutRegistryLearnFromOthers(t *testing.T) {
+	f := settled(t, 9, 3)
+	f.store.down = func(node int) bool { return node%3 == 0 } // the whole zone z0
+	f.run(5 * time.Second)
+	f.store.config(5, 20)
+	require.LessOrEqual(t, f.everywhere(5, 10*time.Second), 4*time.Second)
+}
+
+// Guards against an instance that starts while the registry is away and serves
+// nothing although its neighbours know everything.
+func TestInstanceThatStartsWithoutRegistryTakesAListingFromOthers(t *testing.T) {
+	f := settled(t, 6, 2)
+	for i := range 200 {
+		f.store.server(fmt.Sprintf("more-%d", i))
+	}
+	f.run(2 * time.Second)
+	f.store.down = func(int) bool { return true }
+	f.run(3 * time.Second)
+	f.kill(2)
+	f.start(2, 2)
+	require.LessOrEqual(t, f.everywhere(3, 10*time.Second), 3*time.Second)
+	require.Len(t, f.snapshot[2].Services["s"].Servers, 201)
+}
+
+// Guards against servers that count as gone because their entries expired while
+// the registry was away.
+func TestServersStayWhileTheRegistryIsAway(t *testing.T) {
+	f := settled(t, 4, 2)
+	f.store.down = func(int) bool { return true }
+	f.run(5 * time.Second)
+	f.store.put(catalog.Entry{Key: "servers/a", Removed: true})
+	f.store.compacted = f.store.revision
+	f.run(5 * time.Second)
+	f.store.down = nil
+	f.run(1500 * time.Millisecond)
+	for i, s := range f.snapshot {
+		require.Len(t, s.Services["s"].Servers, 1, "instance %d", i)
+	}
+	f.store.server("a")
+	f.run(4 * time.Second)
+	for i, s := range f.snapshot {
+		require.Len(t, s.Services["s"].Servers, 1, "instance %d", i)
+	}
+}
+
+// Guards against a view that counts as confirmed although the registry cannot be
+// asked, by which a missing route would be refused.
+func TestConfirmationAgesWhileTheRegistryIsAway(t *testing.T) {
+	f := settled(t, 4, 2)
+	require.Less(t, f.now.Sub(f.snapshot[0].ConfirmedAt), 2500*time.Millisecond)
+	f.store.down = func(int) bool { return true }
+	f.run(5 * time.Second)
+	for _, s := range f.snapshot {
+		require.Greater(t, f.now.Sub(s.ConfirmedAt), 3*time.Second)
+	}
+}
+
+// Guards against an instance that does not notice that its zone is cut off, or
+// that the cut has healed.
+func TestZoneThatIsCutOffNoticesItAndItsEnd(t *testing.T) {
+	f := settled(t, 9, 3)
+	f.cut = func(from, to int) bool { return (from%3 == 0) != (to%3 == 0) }
+	f.run(4 * time.Second)
+	for i, s := range f.snapshot {
+		require.Equal(t, i%3 == 0, s.CutOff, "instance %d", i)
+	}
+	f.cut = nil
+	f.run(4 * time.Second)
+	for i, s := range f.snapshot {
+		require.False(t, s.CutOff, "instance %d", i)
+	}
+}
+
+// Guards against several instances that take themselves for the home of a cold
+// server once the fleet has settled.
+func TestColdStartHasOneHome(t *testing.T) {
+	f := settled(t, 9, 3)
+	homes := 0
+	for _, m := range f.nodes {
+		if m.home("a", "z0") {
+			homes++
+		}
+	}
+	require.Equal(t, 1, homes)
+	fresh := newFleet(t, 9, 3)
+	fresh.run(2 * time.Second)
+	for _, m := range fresh.nodes {
+		require.False(t, m.home("a", "z0"), "a fleet that has just started knows too little")
+	}
+}
+
+// Guards against the failure of a probe that is that of the own link: it counts
+// only if another instance answered meanwhile.
+func TestFailedProbeCountsOnlyIfOthersAnswer(t *testing.T) {
+	f := settled(t, 6, 2)
+	m := f.nodes[0]
+	reach := func() steering.Reach {
+		s := &steering.Snapshot{}
+		m.catalog.Fill(f.now, s, m.home)
+		return s.Services["s"].Servers[0].Reach
+	}
+	fail := func() {
+		f.step(0, evSuspect{"a", 0})
+		sent := f.now
+		f.run(300 * time.Millisecond)
+		f.step(0, evProbed{server: catalog.ServerEntry{ID: "a"}, sentAt: sent, reach: steering.Unreachable})
+	}
+	f.cut = func(from, to int) bool { return from == 0 || to == 0 }
+	fail()
+	require.Equal(t, steering.ReachUnknown, reach())
+	f.cut = nil
+	f.run(time.Second)
+	fail()
+	require.Equal(t, steering.Unreachable, reach())
+}
+
+// Guards against a leaving instance that keeps the duties of its zone.
+func TestLeavingInstanceHandsItsWatchOver(t *testing.T) {
+	f := settled(t, 4, 1)
+	for i, m := range f.nodes {
+		if m.watches() {
+			f.step(i, evLeave{})
+		}
+	}
+	f.run(3 * time.Second)
+	watchers := 0
+	for _, m := range f.nodes {
+		if m.watches() && m.peers.table.Self().Liveness == model.Live {
+			watchers++
+		}
+	}
+	require.Equal(t, 1, watchers)
+}
+
+// Guards against messages between instances that grow with the fleet.
+func TestMessagesOfAnInstanceStayBounded(t *testing.T) {
+	for _, n := range []int{8, 32} {
+		f := settled(t, n, 4)
+		f.messages = 0
+		f.run(10 * time.Second)
+		require.LessOrEqual(t, float64(f.messages)/float64(n)/10, 16.0, "%d instances", n)
+	}
+}
+
+// neverAnswers is a registry whose calls last until their contexts end.
+type neverAnswers struct{}
+
+func (neverAnswers) List(ctx context.Context) (catalog.Changes, error) {
+	<-ctx.Done()
+	return catalog.Changes{}, port.ErrUnavailable
+}
+
+func (neverAnswers) Watch(ctx context.Context, _ uint64, _ time.Duration) (catalog.Changes, error) {
+	<-ctx.Done()
+	return catalog.Changes{}, port.ErrUnavailable
+}
+
+func (neverAnswers) Revision(ctx context.Context) (uint64, error) {
+	<-ctx.Done()
+	return 0, port.ErrUnavailable
+}
+
+func (neverAnswers) Reconnect() {}
+
+type noPeers struct{}
+
+func (noPeers) Send(netip.AddrPort, *peer.Message) {}
+
+type noProber struct{}
+
+func (noProber) Probe(context.Context, model.ServerID, netip.AddrPort, string) catalog.Reach {
+	return catalog.ReachUnknown
+}
+
+type clockFunc func() model.Time
+
+func (c clockFunc) Now() model.Time { return c() }
+
+// Guards against a control goroutine that waits for a registry that hangs.
+func TestControlEndsWhileTheRegistryHangs(t *testing.T) {
+	begun := time.Now()
+	c, err := New(Options{Self: model.Member{ID: "n", Zone: "z", PeerAddress: netip.MustParseAddrPort("127.0.0.1:1")},
+		Peers: noPeers{}, Prober: noProber{}, Registry: neverAnswers{}, Catalog: catalog.Settings{Lifetime: time.Minute},
+		Clock: clockFunc(func() model.Time { return model.Time(time.Since(begun)) + second })})
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- c.Run(ctx) }()
+	c.Suspect(&steering.Server{ID: "x"})
+	c.SetSeeds(nil)
+	cancel()
+	require.NoError(t, <-done)
+	c.Leave() // does not block after the end
+	require.Nil(t, c.Snapshot())
+}
