--- /dev/null
+++ b/internal/adapter/operatorcli/beliefs.go
@@ -0,0 +1,37 @@
+package operatorcli
+
+import (
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/savorytiller/savorytiller/internal/adapter/steerstatus"
+)
+
+// beliefsCommand shows what an instance of savorysteer believes.
+type beliefsCommand struct{}
+
+// Run reads the status of the instance. An instance that is not ready is refused.
+func (c *beliefsCommand) Run(r *run) error {
+	var s steerstatus.Status
+	if err := r.client.get(steerstatus.StatusPath, nil, &s); err != nil {
+		return err
+	}
+	err := r.print(&s, func(w io.Writer) {
+		age := time.Duration(s.ConfirmedMsAgo) * time.Millisecond
+		fmt.Fprintf(w, "instance %s in %s: ready %v, configuration %d with %d routes, confirmed %v ago, %d instances in the zone, cut off %v, %d flows\n",
+			s.Instance, s.Zone, s.Ready, s.Version, s.Routes, age, s.Neighbours, s.CutOff, s.Flows)
+		for i := range s.Servers {
+			x := &s.Servers[i]
+			probed := "never probed"
+			if x.ProbedMsAgo >= 0 {
+				probed = fmt.Sprintf("probed %v ago", time.Duration(x.ProbedMsAgo)*time.Millisecond)
+			}
+			fmt.Fprintf(w, "  %-20s %-12s %-12s %-22s %-11s %s\n", x.ID, x.Service, x.Zone, x.Address, x.State, probed)
+		}
+	})
+	if err == nil && !s.Ready {
+		return errRefused
+	}
+	return err
+}
--- a/internal/adapter/operatorcli/cli.go
+++ b/internal/adapter/operatorcli/cli.go
@@ -37,6 +37,8 @@
 	Servers     serversCommand     `cmd:"" help:"Show backend servers with state, reason and this instance's share."`
 	Metrics     metricsCommand     `cmd:"" help:"Show counters per part and reason, and histograms per tenant and class."`
 	Explain     explainCommand     `cmd:"" help:"Show recent decisions, or with --service and --source why a flow goes to its server."`
+	Beliefs     beliefsCommand     `cmd:"" help:"Show what an instance of savorysteer believes: configuration, servers with state and age. Exit code 1 if it is not ready."`
+	Why         whyCommand         `cmd:"" help:"Explain from log lines of savorysteer what happened to a flow. Exit code 1 if the log says nothing of it."`
 	CheckNote   checkNoteCommand   `cmd:"" help:"Check a release note without publishing it. Exit code 1 if it would be refused."`
 	CheckConfig checkConfigCommand `cmd:"" help:"Check a settings file of savorytillerd. Exit code 1 if it is not valid."`
 }
--- a/internal/adapter/operatorcli/docs_test.go
+++ b/internal/adapter/operatorcli/docs_test.go
@@ -11,7 +11,7 @@
 
 // Guards against a reason code that operators see and cannot look up.
 func TestOperatorsPageExplainsEveryReason(t *testing.T) {
-	page, err := os.ReadFile("../../../docs/operators.md")
+	page, err := os.ReadFile("../../../docs/OPERATIONS.md")
 	require.NoError(t, err)
 	for _, reason := range model.Reasons() {
 		require.Contains(t, string(page), "\n| `"+reason.String()+"` |")
--- /dev/null
+++ b/internal/adapter/operatorcli/why_test.go
@@ -0,0 +1,99 @@
+package operatorcli
+
+import (
+	"encoding/json"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/savorytiller/savorytiller/internal/adapter/metrics"
+	"github.com/savorytiller/savorytiller/internal/adapter/steerstatus"
+	"github.com/savorytiller/savorytiller/internal/core/model"
+	"github.com/savorytiller/savorytiller/internal/core/steering"
+)
+
+// Lines as three instances wrote them, collected with their names before them.
+const whyLog = `
+  1.0 n1 {"level":"info","ts":"2026-06-19T00:40:01.000Z","msg":"flow: flow placed","caller":"100.64.0.1:1001","route":"198.18.0.1:80","reason":"least_load","copy":0,"server":"i-a","zone":"z","load":0}
+  1.1 n1 {"level":"info","ts":"2026-06-19T00:40:01.100Z","msg":"flow: flow placed","caller":"100.64.0.2:1002","route":"198.18.0.1:80","reason":"least_load","copy":0,"server":"i-b","zone":"z","load":0}
+  1.2 n2 {"level":"info","ts":"2026-06-19T00:40:01.200Z","msg":"flow: flow placed","caller":"100.64.0.3:1003","route":"198.18.0.2:80","reason":"least_load","copy":0,"server":"i-c","zone":"z","load":0}
+not a line of ours
+  1.3 n2 {"level":"info","ts":"2026-06-19T00:40:01.300Z","msg":"flow: flow placed","caller":"100.64.0.4:1004","route":"198.18.0.2:80","reason":"least_load","copy":0,"server":"i-d","zone":"z","load":0}
+  2.0 n3 {"level":"info","ts":"2026-06-19T00:40:02.000Z","msg":"registry: server probed","server":"i-a","zone":"z","reach":"unreachable","after_ms":300}
+  2.1 n3 {"level":"info","ts":"2026-06-19T00:40:02.100Z","msg":"flow: flow reset","caller":"100.64.0.1:1001","route":"198.18.0.1:80","reason":"server_failed","copy":0,"server":"i-a","zone":"z"}
+  2.2 n1 {"level":"info","ts":"2026-06-19T00:40:02.200Z","msg":"registry: server removed","key":"servers/i-b","revision":40}
+  2.3 n2 {"level":"info","ts":"2026-06-19T00:40:02.300Z","msg":"registry: registry lost","error":"unavailable","confirmed_ms_ago":900}
+  2.4 n1 {"level":"info","ts":"2026-06-19T00:40:02.400Z","msg":"flow: flow reset","caller":"100.64.0.5:1005","route":"198.18.0.9:80","reason":"unknown_service","copy":0}
+  9.0 n1 {"level":"info","ts":"2026-06-19T00:40:09.000Z","msg":"registry: server probed","server":"i-d","zone":"z","reach":"unreachable","after_ms":300}
+  30.0 n1 {"level":"info","ts":"2026-06-19T00:40:30.000Z","msg":"flow: flow placed","caller":"100.64.0.6:1006","route":"198.18.0.1:80","reason":"least_load","copy":0,"server":"i-e","zone":"z","load":0}
+`
+
+// Guards against an on-call engineer who reads the wrong cause, or none, from
+// the logs.
+func TestWhyNamesTheCauseOfAFailedFlow(t *testing.T) {
+	log := file(t, whyLog)
+	for flow, want := range map[string]string{
+		"100.64.0.1:1001": causeServerFailed,
+		"100.64.0.2:1002": causeServerLeft,
+		"100.64.0.3:1003": causeRegistryLost,
+		"100.64.0.4:1004": causeRegistryLost, // the probe came too late to matter
+		"100.64.0.5:1005": causeNoRoute,
+		"100.64.0.6:1006": causeServed,
+	} {
+		code, out, errOut := runCommand(t, "why", flow, log)
+		require.Equal(t, ExitOK, code, errOut)
+		require.True(t, strings.HasPrefix(out, "flow "+flow+": "+want+"\n"), "%s", out)
+	}
+	code, out, _ := runCommand(t, "why", "100.64.0.99:1", log)
+	require.Equal(t, ExitRefused, code)
+	require.Contains(t, out, "unknown")
+
+	_, out, _ = runCommand(t, "--json", "why", "100.64.0.1:1001", log)
+	var s story
+	require.NoError(t, json.Unmarshal([]byte(out), &s))
+	require.Len(t, s.Lines, 3, "placed, reset, probed")
+	require.Equal(t, "n3", s.Lines[2].Source)
+}
+
+type snapshotReader struct{ s *steering.Snapshot }
+
+func (r snapshotReader) Snapshot() *steering.Snapshot { return r.s }
+
+type fixedClock model.Time
+
+func (c fixedClock) Now() model.Time { return model.Time(c) }
+
+// Guards against beliefs that are shown without their age, and against metrics
+// that a scraper can't read.
+func TestBeliefsAndMetricsOfAnInstance(t *testing.T) {
+	servers := []*steering.Server{{ID: "i-a", Service: "s", Zone: "z"},
+		{ID: "i-b", Service: "s", Zone: "z", Reach: steering.Unreachable, ReachAt: 1e9}, {ID: "i-c", Departed: true}}
+	recorder := metrics.New(16)
+	recorder.Count("flow", model.ReasonKnownFlow)
+	recorder.Observe("answer", "s", "r", 5e6)
+	source := &steerstatus.Source{Instance: "n1", Clock: fixedClock(3e9), Ready: func() bool { return true },
+		Flows: func() int64 { return 7 }, Metrics: recorder.Snapshot, Gauges: func() map[string]float64 { return map[string]float64{"registry_checks": 4} },
+		Snapshots: snapshotReader{&steering.Snapshot{Version: 9, Zone: "z", ConfirmedAt: 2e9, Servers: steering.NewTokens(servers)}}}
+	server := httptest.NewServer(source.Server().Handler)
+	defer server.Close()
+
+	code, out, errOut := runCommand(t, "--address", server.Listener.Addr().String(), "beliefs")
+	require.Equal(t, ExitOK, code, errOut)
+	for _, text := range []string{"configuration 9", "confirmed 1s ago", "unreachable probed 2s ago", "departed", "never probed"} {
+		require.Contains(t, strings.Join(strings.Fields(out), " "), text)
+	}
+	response, err := server.Client().Get(server.URL + steerstatus.MetricsPath)
+	require.NoError(t, err)
+	defer func() { _ = response.Body.Close() }()
+	body := new(strings.Builder)
+	buffer := make([]byte, 4096)
+	for n, err := response.Body.Read(buffer); n > 0 || err == nil; n, err = response.Body.Read(buffer) {
+		body.Write(buffer[:n])
+	}
+	for _, line := range []string{`count{part="flow",reason="known_flow"} 1`, `latency_ms{metric="answer",tenant="s",class="r",quantile="0.5"} 5.0`,
+		"config_version 9", "confirmed_age_ms 1000", "servers_unreachable 1", "registry_checks 4", "flows 7"} {
+		require.Contains(t, body.String(), line+"\n")
+	}
+}
--- /dev/null
+++ b/internal/adapter/peerudp/codec_test.go
@@ -0,0 +1,103 @@
+package peerudp
+
+import (
+	"context"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/savorytiller/savorytiller/internal/adapter/metrics"
+	"github.com/savorytiller/savorytiller/internal/core/catalog"
+	"github.com/savorytiller/savorytiller/internal/core/member"
+	"github.com/savorytiller/savorytiller/internal/core/model"
+	"github.com/savorytiller/savorytiller/internal/core/peer"
+	"github.com/savorytiller/savorytiller/internal/core/steering"
+	"github.com/savorytiller/savorytiller/internal/port"
+)
+
+func fullMessage() *peer.Message {
+	at := netip.MustParseAddrPort("10.1.0.10:8166")
+	self := model.Member{ID: "n1", Zone: "z", Incarnation: 5, Liveness: model.Leaving, PeerAddress: at, Capacity: 200}
+	config := &catalog.Configuration{Version: 9, IdleTimeout: 15 * time.Second,
+		Services: []catalog.Service{{Name: "a", HealthPath: "/h", ColdPerSecond: 2.5, ColdStart: 2 * time.Second}, {Name: "b"}},
+		Routes: []catalog.Route{{Name: "r", Endpoint: steering.Endpoint{Address: 1, Port: 2}, Idempotent: true,
+			Shares: []catalog.Share{{Service: "a", Weight: 9}, {Service: "b", Weight: 1}}}}}
+	return &peer.Message{Kind: peer.Changes, Call: 7, From: self, Updates: []member.Update{{Member: model.Member{ID: "n2", Liveness: model.Dead}}},
+		Join: true, Target: at, Revision: 40, Confirmed: true, Age: 120 * time.Millisecond, After: 38, Part: 1, Parts: 3,
+		Entries: []catalog.Entry{
+			{Key: "c", Revision: 39, Config: config},
+			{Key: "c", Revision: 40, Delta: &catalog.Delta{Base: 9, Version: 12, IdleTimeout: time.Second,
+				Services: config.Services, Routes: config.Routes, Removed: []string{"x"}}},
+			{Key: "servers/a", Revision: 41, Server: &catalog.ServerEntry{ID: "a", Number: 77, Address: at, Service: "a", Zone: "z",
+				Slots: 4, State: model.ServerDraining, Started: 99, ColdFor: 1500 * time.Millisecond}},
+			{Key: "zone/z", Revision: 42, Withdrawn: "z"}, {Key: "servers/b", Revision: 43, Removed: true}}}
+}
+
+// Guards against a field that is lost between two instances.
+func TestMessagesArriveWhole(t *testing.T) {
+	want := fullMessage()
+	b, err := encode(want)
+	require.NoError(t, err)
+	got, err := decode(b)
+	require.NoError(t, err)
+	require.Equal(t, want, got)
+}
+
+// Guards against an entry that the sender could not use and the receiver takes
+// for a good one.
+func TestUnusableEntriesStayUnusable(t *testing.T) {
+	m := fullMessage()
+	m.Entries = []catalog.Entry{{Key: "servers/a", Revision: 1, Problem: port.ErrMalformed}}
+	b, err := encode(m)
+	require.NoError(t, err)
+	got, err := decode(b)
+	require.NoError(t, err)
+	require.ErrorIs(t, got.Entries[0].Problem, port.ErrMalformed)
+}
+
+// Guards against datagrams of others that end the process or name members.
+func FuzzDecodeMessage(f *testing.F) {
+	b, err := encode(fullMessage())
+	require.NoError(f, err)
+	f.Add(b)
+	f.Add([]byte{0x80})
+	f.Fuzz(func(t *testing.T, datagram []byte) {
+		m, err := decode(datagram)
+		if err != nil {
+			require.ErrorIs(t, err, port.ErrMalformed)
+			return
+		}
+		require.True(t, m.Kind.Valid())
+		require.NotEmpty(t, m.From.ID)
+		for _, e := range m.Entries {
+			require.False(t, e.Config != nil && e.Delta != nil)
+		}
+	})
+}
+
+// Guards against a message of a large configuration that does not fit, and
+// against a socket that stops at a datagram it can't read.
+func TestSocketsCarryLargeMessagesAndSkipBadOnes(t *testing.T) {
+	recorder := metrics.New(16)
+	listen := func() *Socket {
+		s, err := Listen(netip.MustParseAddrPort("127.0.0.1:0"), recorder)
+		require.NoError(t, err)
+		return s
+	}
+	from, to := listen(), listen()
+	ctx, cancel := context.WithCancel(t.Context())
+	got := make(chan *peer.Message, 1)
+	done := make(chan error, 1)
+	go func() { done <- to.Serve(ctx, func(m *peer.Message) { got <- m }) }()
+	require.NoError(t, from.socket.SendPacket(to.socket.Address(), []byte("not a message")))
+	m := fullMessage()
+	for range 1500 {
+		m.Entries[0].Config.Routes = append(m.Entries[0].Config.Routes, m.Entries[0].Config.Routes[0])
+	}
+	from.Send(to.socket.Address(), m)
+	require.Len(t, (<-got).Entries[0].Config.Routes, 1501)
+	cancel()
+	require.ErrorIs(t, <-done, context.Canceled)
+}
--- a/internal/adapter/settings/load.go
+++ b/internal/adapter/settings/load.go
@@ -63,7 +63,7 @@
 // Parse checks the contents of a settings file. The file name is used in
 // messages only.
 func Parse(file string, data []byte) (*Settings, error) {
-	p, err := newParser(file, data, fields, "docs/operators.md")
+	p, err := newParser(file, data, fields, "docs/OPERATIONS.md")
 	if err != nil {
 		return nil, err
 	}
--- a/internal/adapter/settings/settings_test.go
+++ b/internal/adapter/settings/settings_test.go
@@ -69,12 +69,12 @@
 		{"short secret", secret, `secret = "0123"`, "peer_keys[0].secret", "32 to 128"},
 		{"unknown in key", secret, secret + "\nuntil = 1", "peer_keys[0].until", "id and secret"},
 		{"same key id", secret, secret + "\n[[peer_keys]]\nid = 12\n" + secret, "peer_keys[1].id", "different"},
-		{"unknown key", `zone =`, "region = \"x\"\nzone =", "instance.region", "docs/operators.md"},
-		{"unknown table", `[platform]`, "[cache]\nsize = 1\n[platform]", "cache.size", "docs/operators.md"},
+		{"unknown key", `zone =`, "region = \"x\"\nzone =", "instance.region", "docs/OPERATIONS.md"},
+		{"unknown table", `[platform]`, "[cache]\nsize = 1\n[platform]", "cache.size", "docs/OPERATIONS.md"},
 		{"notice over drain", `[platform]`, "[shutdown]\nnotice_ms = 500\ndrain_ms = 400\n[platform]", "shutdown.notice_ms", "below"},
 		{"tenant over instance", `[platform]`, "[requests]\ntenant_bytes = 2097152\nin_flight_bytes = 1048576\n[platform]", "requests.tenant_bytes", "at most"},
 		{"level", `[platform]`, "[log]\nlevel = \"loud\"\n[platform]", "log.level", "one of debug, info, error"},
-		{"table as a value", `[instance]`, "flows = 3\n[instance]", "flows", "docs/operators.md"},
+		{"table as a value", `[instance]`, "flows = 3\n[instance]", "flows", "docs/OPERATIONS.md"},
 		{"syntax", `[platform]`, "[platform", "line", "TOML"},
 	}
 	for _, c := range cases {
@@ -138,7 +138,7 @@
 // Guards against a setting that is not documented, and against a page that
 // shows an outdated default.
 func TestOperatorsPageListsEveryKey(t *testing.T) {
-	page, err := os.ReadFile("../../../docs/operators.md")
+	page, err := os.ReadFile("../../../docs/OPERATIONS.md")
 	require.NoError(t, err)
 	for _, f := range fields {
 		row := "\n| `" + f.key + "` | "
--- /dev/null
+++ b/internal/adapter/settings/steer_test.go
@@ -0,0 +1,76 @@
+package settings
+
+import (
+	"net/netip"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const steerExample = `
+[instance]
+id = "edge-halle-a-1"
+zone = "halle-a"
+link_mbps = 10
+[listen]
+flows = "10.1.0.10:8172"
+readiness = "10.1.0.10:8167"
+peers = "10.1.0.10:8166"
+metrics = "10.1.0.10:7720"
+[peers]
+seeds = ["10.1.0.10:8166", "10.2.0.40:8166"]
+[registry]
+address = "10.200.1.7:8169"
+[bounds]
+flow_lifetime_ms = 60000
+stop_grace_ms = 6000
+cold_margin = 5
+`
+
+// Guards against settings that are read as something else.
+func TestSteerSettings(t *testing.T) {
+	s, err := ParseSteer("f", []byte(steerExample))
+	require.NoError(t, err)
+	require.Equal(t, netip.MustParseAddrPort("10.1.0.10:8166"), s.Listen.Peers)
+	require.Len(t, s.Seeds, 2)
+	require.Equal(t, time.Minute, s.Bounds.FlowLifetime)
+	require.Equal(t, 6*time.Second, s.Bounds.StopGrace)
+	require.Equal(t, "info", s.Log.Level)
+	require.EqualValues(t, 10, s.LinkMbps)
+	fraction, err := ParseSteer("f", []byte(strings.Replace(steerExample, "link_mbps = 10", "link_mbps = 1000.0", 1)))
+	require.NoError(t, err)
+	require.EqualValues(t, 1000, fraction.LinkMbps)
+}
+
+// Guards against a start with settings that can't work, and against a message
+// that does not say which field is wrong and what is allowed.
+func TestSteerSettingsNameTheWrongField(t *testing.T) {
+	for name, c := range map[string]struct{ old, new, key, allowed string }{
+		"missing":       {`zone = "halle-a"`, ``, "instance.zone", "characters"},
+		"address":       {`"10.1.0.10:8172"`, `"halle:8172"`, "listen.flows", "IP number"},
+		"seeds":         {`"10.2.0.40:8166"]`, `"x"]`, "peers.seeds", "list of IP numbers"},
+		"seeds no list": {`["10.1.0.10:8166", "10.2.0.40:8166"]`, `"10.1.0.10:8166"`, "peers.seeds", "list"},
+		"range":         {`stop_grace_ms = 6000`, `stop_grace_ms = 1`, "bounds.stop_grace_ms", "100 to 600000 ms"},
+		"type":          {`cold_margin = 5`, `cold_margin = "5"`, "bounds.cold_margin", "0 to 1000"},
+		"link":          {`link_mbps = 10`, `link_mbps = -1`, "instance.link_mbps", "from 0"},
+		"unknown":       {`cold_margin = 5`, `warm_margin = 5`, "bounds.warm_margin", "docs/OPERATIONS.md"},
+	} {
+		_, err := ParseSteer("f", []byte(strings.Replace(steerExample, c.old, c.new, 1)))
+		var invalid *InvalidError
+		require.ErrorAs(t, err, &invalid, name)
+		require.Equal(t, c.key, invalid.Problems[0].Key, name)
+		require.Contains(t, invalid.Problems[0].Allowed, c.allowed, name)
+	}
+}
+
+// Guards against a key that operators can't look up.
+func TestOperationsPageExplainsEverySteerKey(t *testing.T) {
+	page, err := os.ReadFile("../../../docs/OPERATIONS.md")
+	require.NoError(t, err)
+	for _, f := range steerFields {
+		require.Contains(t, string(page), "| `"+f.key+"` |")
+	}
+}
