--- a/internal/core/steering/place.go
+++ b/internal/core/steering/place.go
@@ -30,14 +30,16 @@
 // candidate classes in the order of preference.
 const (
 	classReady   = iota // own zone, with a free slot
-	classOther          // other zone, with a free slot
-	classQueue          // own zone, slots taken
+	classBusy           // another zone, or slots taken
 	classCold           // cold, within its allowance
-	classFar            // other zone, slots taken
 	classSuspect        // did not answer lately
 	classNone           // must not get a flow
 )
 
+// farLoad is added to the load of servers of other zones once the own zone has no
+// free slot: the round trip between zones, as a part of a usual request.
+const farLoad = 0.25
+
 // serviceOf selects the service of a new flow by the route's weights.
 func serviceOf(r *Route, key FlowKey) string {
 	if len(r.Shares) == 1 {
@@ -62,7 +64,7 @@
 }
 
 // place chooses the server of a new flow: in the own zone as long as a slot is
-// free there, by the lowest load. avoid is a server that left this flow without
+// free there, else in any, by the lowest load. avoid is a server that left this flow without
 // an answer, or nil.
 func (s *Steerer) place(service *Service, avoid *target, now model.Time) *target {
 	load := s.loads[service.Name]
@@ -82,6 +84,9 @@
 		}
 		score := s.score(t, load)
 		class := s.class(t, service, score, now)
+		if server.Zone != s.snapshot.Zone {
+			score += farLoad
+		}
 		// A small random part spreads the choices of instances that see no load.
 		score += 0.01 * s.random.Float64()
 		if class == classNone {
@@ -113,7 +118,6 @@
 
 // class ranks a server by how well it can take a flow.
 func (s *Steerer) class(t *target, service *Service, score float64, now model.Time) int {
-	near := t.server.Zone == s.snapshot.Zone
 	cold := t.server.ColdUntil.After(now)
 	switch {
 	case cold && !s.coldAllowed(t, service, now):
@@ -122,14 +126,10 @@
 		return classSuspect
 	case cold:
 		return classCold
-	case score >= 1 && near:
-		return classQueue
-	case score >= 1:
-		return classFar
-	case near:
+	case score < 1 && t.server.Zone == s.snapshot.Zone:
 		return classReady
 	default:
-		return classOther
+		return classBusy
 	}
 }
 
--- a/internal/core/steering/steering_test.go
+++ b/internal/core/steering/steering_test.go
@@ -301,6 +301,21 @@
 	require.Equal(t, 4, zones["y"])
 }
 
+// Guards against a queue in the own zone that grows without end once all slots
+// are taken. After a restart of all instances, the first one that is ready gets
+// the callers of every zone.
+func TestBurstSpreadsOverAllZones(t *testing.T) {
+	r := newRig(t)
+	r.use(servers("a", "z", 2), servers("a", "y", 2), servers("a", "x", 2), servers("b", "z", 2))
+	zones := map[model.Zone]int{}
+	for i := range 120 {
+		zones[r.syn(uint16(i), routeA, 0).Server.Zone]++
+	}
+	for zone, n := range zones {
+		require.InDelta(t, 40, n, 4, zone)
+	}
+}
+
 // Guards against an uneven load of equal servers.
 func TestFlowsSpreadOverEqualServers(t *testing.T) {
 	r := newRig(t)
