--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 RAPID_SEED ?= 20261204
 RAPID_CHECKS ?= 100
 
-.PHONY: build test demo fmt
+.PHONY: build test demo fmt soak
 
 build:
 	go build -o bin/ ./cmd/...
@@ -14,5 +14,11 @@
 demo: build
 	scripts/demo.sh
 
+# Fresh seeds of the fault soak; logs of failed ones are kept in SOAK_KEEP.
+SEEDS ?= 5
+SOAK_KEEP ?= /tmp/savorytiller-soak
+soak:
+	go test ./platform/soak -count=1 -v -timeout 60m -soak.seeds=$(SEEDS) -soak.keep=$(SOAK_KEEP)
+
 fmt:
 	gofmt -w $$(git ls-files '*.go')
