Notice a zone that is cut off within 1.3 s, also from its start; heal long partitions

Other zones are now asked after 0.7 s of silence, an instance that never heard one counts as cut off at first and by its neighbours' word.

--- a/internal/control/registry/machine.go
+++ b/internal/control/registry/machine.go
@@ -90,6 +90,7 @@
 	m.peers = peers{seeds: o.Seeds, table: member.New(o.Self, random), calls: map[uint32]*pendingCall{},
 		heard:  map[model.Zone]model.Time{},
 		placed: placement.NewMembers([]model.Member{o.Self})}
+	m.peers.table.KeepDead(keepDead)
 	return m
 }
 
@@ -189,7 +190,7 @@
 	}
 	m.sequence++
 	s := m.registered
-	s.Sequence, s.ConfirmedAt, s.CutOff = m.sequence, m.confirmed, m.cutOff()
+	s.Sequence, s.ConfirmedAt, s.CutOff = m.sequence, m.confirmed, m.peers.cut
 	m.snapshot = &s
 }
 
--- a/internal/control/registry/peers.go
+++ b/internal/control/registry/peers.go
@@ -19,8 +19,12 @@
 	answerLimit = 400 * time.Millisecond
 	askLimit    = 900 * time.Millisecond
 	// seedEvery is the time between two messages to the seeds while no other
-	// instance is known.
+	// instance is known, seedAgain while some are: others may be known to them only.
 	seedEvery = 500 * time.Millisecond
+	seedAgain = 5 * time.Second
+	// keepDead is how long dead instances are probed: longer than partitions last
+	// that nobody repairs by hand.
+	keepDead = 10 * time.Minute
 	// staleAfter is the age of the confirmation after which an instance that does
 	// not watch reads the registry's revision itself. It is longer than the time
 	// between two confirmations by the watcher, and leaves time to list before a
@@ -35,11 +39,20 @@
 	// settledAfter is how long an instance takes part before its view of the
 	// others counts for the homes of cold servers.
 	settledAfter = 3 * time.Second
-	// cutAfter is the time without a message from another zone after which this
-	// zone counts as cut off: two rounds of probes.
-	cutAfter = 2200 * time.Millisecond
+	// quietAfter is the time without a message from any other zone after which some
+	// of their instances are asked, every askOtherEvery. cutAfter is when this zone
+	// counts as cut off: two rounds of questions without an answer.
+	quietAfter    = 700 * time.Millisecond
+	askOtherEvery = 300 * time.Millisecond
+	cutAfter      = 1300 * time.Millisecond
+	// zoneQuietAfter is the time without a message from one zone after which its
+	// servers are not probed.
+	zoneQuietAfter = 2200 * time.Millisecond
 )
 
+// askOthers is the number of instances of other zones that are asked at a time.
+const askOthers = 3
+
 // maxUpdates bounds the members in one message, for its size.
 const maxUpdates = 16
 
@@ -73,7 +86,12 @@
 	// answeredAt is when the last question was sent that got an answer in time.
 	answeredAt model.Time
 	// heard is when a message of a zone arrived last.
-	heard   map[model.Zone]model.Time
+	heard      map[model.Zone]model.Time
+	askOtherAt model.Time
+	// toldCut is when another instance of the zone last said that it is cut off.
+	toldCut model.Time
+	// cut is whether this zone counts as cut off.
+	cut     bool
 	log     peer.Log
 	partial partial
 }
@@ -88,6 +106,9 @@
 func (m *machine) message(kind peer.Kind, to model.InstanceID) *peer.Message {
 	out := &peer.Message{Kind: kind, From: m.peers.table.Self()}
 	out.Updates = m.peers.table.Updates(to)
+	// Who only assumes it does not pass it on: neighbours would confirm each other.
+	_, heard := m.heardOther()
+	out.CutOff = m.peers.cut && heard
 	if m.feed.listed {
 		out.Revision = m.feed.revision
 		out.Confirmed = m.confirmed != 0
@@ -124,25 +145,30 @@
 	}
 	m.wake(p.tickAt)
 	m.askSeeds()
+	m.askOtherZones()
 	if p.table.TakeChanged() {
 		m.membersChanged()
 	}
 }
 
-// askSeeds tries to find other instances while none is known.
+// askSeeds tries to find instances that are not known, through the seeds.
 func (m *machine) askSeeds() {
 	p := &m.peers
-	if p.table.Len() > 1 || len(p.seeds) == 0 {
+	if len(p.seeds) == 0 {
 		return
 	}
 	if m.now.Before(p.seedAt) {
 		m.wake(p.seedAt)
 		return
 	}
-	p.seedAt = m.now.Add(seedEvery)
+	pause := seedEvery
+	if p.table.Len() > 1 {
+		pause = seedAgain
+	}
+	p.seedAt = m.now.Add(pause)
 	m.wake(p.seedAt)
 	for _, seed := range p.seeds {
-		if seed != p.table.Self().PeerAddress {
+		if !p.knows(seed) {
 			message := m.message(peer.Probe, "")
 			message.Join = true
 			m.send(seed, message)
@@ -150,6 +176,11 @@
 	}
 }
 
+// knows reports whether an address is that of a live instance.
+func (p *peers) knows(address netip.AddrPort) bool {
+	return slices.ContainsFunc(p.placed.All(), func(i model.Member) bool { return i.PeerAddress == address })
+}
+
 func (m *machine) membersChanged() {
 	p := &m.peers
 	before := p.placed
@@ -245,6 +276,9 @@
 		m.probePeer(suspect)
 	}
 	p.heard[from.Zone] = m.now
+	if message.CutOff && from.Zone == m.zone {
+		p.toldCut = m.now
+	}
 	switch message.Kind {
 	case peer.Probe:
 		m.answerProbe(message)
@@ -429,19 +463,56 @@
 // heardZone reports whether a message of a zone arrived lately. The own zone can
 // always be heard.
 func (m *machine) heardZone(zone model.Zone) bool {
-	return zone == m.zone || m.now.Sub(m.peers.heard[zone]) < cutAfter
+	return zone == m.zone || m.now.Sub(m.peers.heard[zone]) < zoneQuietAfter
 }
 
-// cutOff reports whether instances of other zones are known and none was heard
-// lately.
-func (m *machine) cutOff() bool {
-	if !m.peers.table.OtherZones() || m.now.Sub(m.peers.started) < cutAfter {
-		return false
+// heardOther returns when the last message of another zone arrived; ok is false
+// if there never was one.
+func (m *machine) heardOther() (last model.Time, ok bool) {
+	for zone, at := range m.peers.heard {
+		if zone != m.zone {
+			last, ok = max(last, at), true
+		}
+	}
+	return last, ok
+}
+
+// askOtherZones asks instances of other zones while none is heard.
+func (m *machine) askOtherZones() {
+	p := &m.peers
+	last, heard := m.heardOther()
+	m.setCutOff(last, heard)
+	if !heard && !p.table.OtherZones() {
+		return
 	}
-	for zone := range m.peers.heard {
-		if zone != m.zone && m.heardZone(zone) {
-			return false
+	if at := max(last.Add(quietAfter), p.askOtherAt); m.now.Before(at) {
+		m.wake(at)
+	} else {
+		p.askOtherAt = m.now.Add(askOtherEvery)
+		m.wake(p.askOtherAt)
+		for range askOthers {
+			if to, ok := p.table.RandomOther(); ok {
+				m.call(to, m.message(peer.Probe, to.ID), answerLimit, nil)
+			}
 		}
 	}
-	return true
+}
+
+// setCutOff decides whether this zone is cut off. An instance that never heard
+// another zone may have started in the middle of a partition: it counts as cut off
+// at first, and as long as it knows of other zones or a neighbour is cut off.
+func (m *machine) setCutOff(last model.Time, heard bool) {
+	p := &m.peers
+	starting := m.now.Sub(p.started) < cutAfter
+	told := p.toldCut != 0 && m.now.Sub(p.toldCut) < zoneQuietAfter
+	cut := heard && m.now.Sub(last) >= cutAfter || !heard && (starting || told || p.table.OtherZones())
+	if cut != p.cut {
+		p.cut, m.changed = cut, true
+		m.log.Info("zone cut off", "cut_off", cut, "heard", heard, "heard_ms_ago", m.now.Sub(last).Milliseconds())
+	}
+	if !cut {
+		m.wake(last.Add(cutAfter))
+	} else if starting {
+		m.wake(p.started.Add(cutAfter))
+	}
 }
--- a/internal/core/member/member.go
+++ b/internal/core/member/member.go
@@ -36,7 +36,8 @@
 	SuspicionTime = time.Second
 	// heardRecently is how fresh an own contact must be to outrank a reported suspicion.
 	heardRecently = 1500 * time.Millisecond
-	// forgetAfter removes a dead member that the platform does not list.
+	// forgetAfter removes a dead member that the platform does not list, unless
+	// KeepDead says otherwise.
 	forgetAfter = 30 * time.Second
 	// recheckUnlisted is the time between probes of a live member that the
 	// platform does not list.
@@ -90,13 +91,18 @@
 	changed  bool
 	verify   []model.Member
 	list     []model.InstanceID // members that the platform listed last, with Self
+	keep     time.Duration      // how long dead members are kept that are not listed
 }
 
 // New returns a table that knows only the instance itself.
 func New(self model.Member, rng *rand.Rand) *Table {
-	return &Table{self: self, rng: rng, peers: map[model.InstanceID]*peer{}, changed: true}
+	return &Table{self: self, rng: rng, peers: map[model.InstanceID]*peer{}, changed: true, keep: forgetAfter}
 }
 
+// KeepDead sets how long dead members are kept. Where no list names the members, a
+// partition that lasts longer separates them for good.
+func (t *Table) KeepDead(d time.Duration) { t.keep = d }
+
 // Self returns this instance with its present incarnation and liveness.
 func (t *Table) Self() model.Member { return t.self }
 
@@ -150,9 +156,6 @@
 // Len returns the number of known instances, dead ones included.
 func (t *Table) Len() int { return len(t.peers) + 1 }
 
-// OtherZones reports whether instances of other zones are known, dead ones included.
-func (t *Table) OtherZones() bool { return len(t.others) > 0 }
-
 // Listed returns the identifiers in the platform's newest list together with
 // this instance, sorted.
 func (t *Table) Listed() []model.InstanceID { return t.list }
--- a/internal/core/member/probe.go
+++ b/internal/core/member/probe.go
@@ -15,7 +15,7 @@
 	for id, p := range t.peers {
 		switch {
 		case p.member.Liveness == model.Dead:
-			if !p.listed && now.Sub(p.changed) > forgetAfter {
+			if !p.listed && now.Sub(p.changed) > t.keep {
 				t.forget(id)
 			}
 		case p.suspect != 0 && !now.Before(p.suspect):
@@ -88,6 +88,18 @@
 	return model.Member{}, false
 }
 
+// OtherZones reports whether instances of other zones are known, dead ones included.
+func (t *Table) OtherZones() bool { return len(t.others) > 0 }
+
+// RandomOther returns a random member of another zone, dead ones included, so that
+// the end of a partition is noticed.
+func (t *Table) RandomOther() (model.Member, bool) {
+	if len(t.others) == 0 {
+		return model.Member{}, false
+	}
+	return t.peers[t.others[t.rng.IntN(len(t.others))]].member, true
+}
+
 // Next says what follows a failed probe.
 type Next uint8
 
--- a/internal/core/peer/message.go
+++ b/internal/core/peer/message.go
@@ -53,6 +53,9 @@
 	Confirmed bool
 	Age       time.Duration
 
+	// CutOff is set if the sender hears no instance of another zone.
+	CutOff bool
+
 	// After and Entries are set for Changes and Pull: the entries, with Revision,
 	// complete a belief that reaches up to After.
 	After   uint64
--- a/internal/core/steering/flows.go
+++ b/internal/core/steering/flows.go
@@ -18,6 +18,10 @@
 	// busyTime ends the estimate that a request is in progress if the caller
 	// shows no answer, for example because it has given up.
 	busyTime = 3 * time.Second
+	// pauseTime is the gap between two packets after which nothing that was sent
+	// before counts as unanswered: the process may have been paused, and the answers
+	// wait behind the packet at hand or are lost.
+	pauseTime = 500 * time.Millisecond
 	// maxFlows bounds the records of an instance. Flows without a record are
 	// still carried; they are only missing in the load estimate.
 	maxFlows = 262_144
@@ -152,6 +156,10 @@
 // that resets a new flow is noticed only by this: the reset bypasses the
 // instance.
 func (s *Steerer) checkOpens(now model.Time) {
+	if now.Sub(s.lastAt) > pauseTime {
+		s.pending = nil
+	}
+	s.lastAt = now
 	for len(s.pending) > 0 && now.Sub(s.pending[0].sentAt) >= answerTime {
 		p := s.pending[0]
 		s.pending = s.pending[1:]
--- a/internal/core/steering/steerer.go
+++ b/internal/core/steering/steerer.go
@@ -54,8 +54,10 @@
 	targets    map[Token]*target
 	loads      map[string]*serviceLoad
 	pending    []pendingOpen
-	suspects   []*target
-	sweepAt    model.Time
+	// lastAt is when the last packet arrived.
+	lastAt   model.Time
+	suspects []*target
+	sweepAt  model.Time
 }
 
 // NewSteerer returns a Steerer without flows. A cold server bears coldMargin new
--- a/internal/core/steering/steering_test.go
+++ b/internal/core/steering/steering_test.go
@@ -183,6 +183,21 @@
 	require.LessOrEqual(t, lost, 10, "of 101 flows")
 }
 
+// Guards against servers that are suspect because the own process was paused:
+// their callers' packets wait in its queue.
+func TestPauseOfTheProcessBlamesNoServer(t *testing.T) {
+	r := newRig(t)
+	for i := range 12 {
+		r.syn(uint16(i), routeA, 0)
+	}
+	r.now += 2 * second
+	r.syn(99, routeA, 0)
+	require.Nil(t, r.steerer.TakeSuspect())
+	for _, target := range r.steerer.targets {
+		require.False(t, target.suspect(r.now))
+	}
+}
+
 // Guards against suspicion that lasts although the server answers again.
 func TestSignOfLifeEndsSuspicion(t *testing.T) {
 	target := &target{server: &Server{}}
