Take times that depend on a deployment from its bounds; leave out what it does not state

The check of the registry, the age after which others check and the grace of unlisted servers were constants that fit a bound of 3 s. Bounds may be fractions or missing; the template then gave settings that do not parse.

--- a/internal/adapter/settings/fields.go
+++ b/internal/adapter/settings/fields.go
@@ -97,8 +97,8 @@
 		}}
 }
 
-func decimal[S any](key string, lo, hi float64, target func(s *S) *float64) field[S] {
-	return field[S]{key: key, allowed: fmt.Sprintf("a number from %g to %g", lo, hi), set: func(s *S, v any) bool {
+func decimal[S any](key string, byDefault, lo, hi float64, target func(s *S) *float64) field[S] {
+	return field[S]{key: key, allowed: fmt.Sprintf("a number from %g to %g", lo, hi), byDefault: byDefault, set: func(s *S, v any) bool {
 		n, ok := v.(float64)
 		if whole, isWhole := v.(int64); isWhole {
 			n, ok = float64(whole), true
--- a/internal/adapter/settings/steer.go
+++ b/internal/adapter/settings/steer.go
@@ -42,29 +42,48 @@
 type Bounds struct {
 	// FlowLifetime is how long a flow may stay open.
 	FlowLifetime time.Duration
+	// ConfigApply is the time within which a configuration has to be in force.
+	ConfigApply time.Duration
+	// Drain is the time within which a leaving server gets no more new flows.
+	Drain time.Duration
 	// StopGrace is the time from SIGTERM to SIGKILL.
 	StopGrace time.Duration
 	// ColdMargin is the number of new flows a second that a cold server bears
 	// beside its rate.
-	ColdMargin int
+	ColdMargin float64
 }
 
 var steerFields = []field[Steer]{
 	name("instance.id", func(s *Steer, v string) { s.Instance.ID = model.InstanceID(v) }),
 	name("instance.zone", func(s *Steer, v string) { s.Instance.Zone = model.Zone(v) }),
-	decimal("instance.link_mbps", 0, 1_000_000, func(s *Steer) *float64 { return &s.LinkMbps }),
+	decimal("instance.link_mbps", 0, 0, 1_000_000, func(s *Steer) *float64 { return &s.LinkMbps }),
 	address("listen.flows", true, func(s *Steer) *netip.AddrPort { return &s.Listen.Flows }),
 	address("listen.readiness", true, func(s *Steer) *netip.AddrPort { return &s.Listen.Readiness }),
 	address("listen.peers", true, func(s *Steer) *netip.AddrPort { return &s.Listen.Peers }),
 	address("listen.metrics", false, func(s *Steer) *netip.AddrPort { return &s.Listen.Metrics }),
 	{key: "peers.seeds", allowed: "a list of IP numbers with ports, for example [\"10.0.0.1:7000\"]", set: setSeeds},
 	address("registry.address", true, func(s *Steer) *netip.AddrPort { return &s.Registry.Address }),
-	milliseconds("bounds.flow_lifetime_ms", 60_000, 1000, 86_400_000, func(s *Steer) *time.Duration { return &s.Bounds.FlowLifetime }),
-	milliseconds("bounds.stop_grace_ms", 6000, 100, 600_000, func(s *Steer) *time.Duration { return &s.Bounds.StopGrace }),
-	number("bounds.cold_margin", 5, 0, 1000, func(s *Steer) *int { return &s.Bounds.ColdMargin }),
+	duration("bounds.flow_lifetime_s", time.Second, 60, 1, 86_400, func(s *Steer) *time.Duration { return &s.Bounds.FlowLifetime }),
+	duration("bounds.config_apply_ms", time.Millisecond, 3000, 300, 600_000, func(s *Steer) *time.Duration { return &s.Bounds.ConfigApply }),
+	duration("bounds.drain_ms", time.Millisecond, 3000, 300, 600_000, func(s *Steer) *time.Duration { return &s.Bounds.Drain }),
+	duration("bounds.stop_grace_s", time.Second, 6, 0.1, 600, func(s *Steer) *time.Duration { return &s.Bounds.StopGrace }),
+	decimal("bounds.cold_margin", 5, 0, 1000, func(s *Steer) *float64 { return &s.Bounds.ColdMargin }),
 	logLevel(func(s *Steer) *string { return &s.Log.Level }),
 }
 
+// duration is a number of units that may have a fraction.
+func duration(key string, unit time.Duration, byDefault, lo, hi float64, target func(s *Steer) *time.Duration) field[Steer] {
+	var units float64
+	f := decimal(key, byDefault, lo, hi, func(*Steer) *float64 { return &units })
+	inner := f.set
+	f.set = func(s *Steer, v any) bool {
+		ok := inner(s, v)
+		*target(s) = time.Duration(units * float64(unit))
+		return ok
+	}
+	return f
+}
+
 func setSeeds(s *Steer, v any) bool {
 	list, ok := v.([]any)
 	for _, e := range list {
--- a/internal/adapter/settings/steer_test.go
+++ b/internal/adapter/settings/steer_test.go
@@ -25,8 +25,9 @@
 [registry]
 address = "10.200.1.7:8169"
 [bounds]
-flow_lifetime_ms = 60000
-stop_grace_ms = 6000
+flow_lifetime_s = 60
+stop_grace_s = 6.5
+config_apply_ms = 2500.5
 cold_margin = 5
 `
 
@@ -37,7 +38,9 @@
 	require.Equal(t, netip.MustParseAddrPort("10.1.0.10:8166"), s.Listen.Peers)
 	require.Len(t, s.Seeds, 2)
 	require.Equal(t, time.Minute, s.Bounds.FlowLifetime)
-	require.Equal(t, 6*time.Second, s.Bounds.StopGrace)
+	require.Equal(t, 6500*time.Millisecond, s.Bounds.StopGrace, "a fraction")
+	require.Equal(t, 2500500*time.Microsecond, s.Bounds.ConfigApply)
+	require.Equal(t, 3*time.Second, s.Bounds.Drain, "default")
 	require.Equal(t, "info", s.Log.Level)
 	require.EqualValues(t, 10, s.LinkMbps)
 	fraction, err := ParseSteer("f", []byte(strings.Replace(steerExample, "link_mbps = 10", "link_mbps = 1000.0", 1)))
@@ -53,8 +56,8 @@
 		"address":       {`"10.1.0.10:8172"`, `"halle:8172"`, "listen.flows", "IP number"},
 		"seeds":         {`"10.2.0.40:8166"]`, `"x"]`, "peers.seeds", "list of IP numbers"},
 		"seeds no list": {`["10.1.0.10:8166", "10.2.0.40:8166"]`, `"10.1.0.10:8166"`, "peers.seeds", "list"},
-		"range":         {`stop_grace_ms = 6000`, `stop_grace_ms = 1`, "bounds.stop_grace_ms", "100 to 600000 ms"},
-		"type":          {`cold_margin = 5`, `cold_margin = "5"`, "bounds.cold_margin", "0 to 1000"},
+		"range":         {`stop_grace_s = 6.5`, `stop_grace_s = 0.01`, "bounds.stop_grace_s", "from 0.1 to 600"},
+		"type":          {`cold_margin = 5`, `cold_margin = "5"`, "bounds.cold_margin", "from 0 to 1000"},
 		"link":          {`link_mbps = 10`, `link_mbps = -1`, "instance.link_mbps", "from 0"},
 		"unknown":       {`cold_margin = 5`, `warm_margin = 5`, "bounds.warm_margin", "docs/OPERATIONS.md"},
 	} {
--- a/internal/app/steer/instance.go
+++ b/internal/app/steer/instance.go
@@ -34,6 +34,9 @@
 const (
 	// defaultIdleTimeout holds until a configuration is known.
 	defaultIdleTimeout = 15 * time.Second
+	// entryReturn is the time within which entries return that expired while the
+	// registry was away.
+	entryReturn = 2 * time.Second
 	// stopMargin is the part of the grace that is left unused, for timers that
 	// fire late.
 	stopMargin = 600 * time.Millisecond
@@ -94,8 +97,9 @@
 	self := model.Member{ID: s.Instance.ID, Zone: s.Instance.Zone, Incarnation: i.clock.Incarnation(), PeerAddress: s.Listen.Peers,
 		Capacity: uint32(s.LinkMbps)}
 	i.control, err = registry.New(registry.Options{Self: self, Seeds: s.Seeds, Peers: i.peers, Clock: i.clock, Registry: p.Registry(s), Prober: p.Prober,
-		Catalog: catalog.Settings{Lifetime: s.Bounds.FlowLifetime, DefaultIdleTimeout: defaultIdleTimeout},
-		Log:     logs.Part("registry"), Seed: seed})
+		Catalog: catalog.Settings{Lifetime: s.Bounds.FlowLifetime, UnlistedGrace: min(entryReturn, s.Bounds.Drain*2/3),
+			DefaultIdleTimeout: defaultIdleTimeout},
+		ConfigBound: s.Bounds.ConfigApply, Log: logs.Part("registry"), Seed: seed})
 	if err != nil {
 		return nil, err
 	}
@@ -180,7 +184,10 @@
 	}
 	s := i.settings.Load()
 	i.log.Info("started", "id", s.Instance.ID, "zone", s.Instance.Zone,
-		"flows", s.Listen.Flows.String(), "registry", s.Registry.Address.String())
+		"flows", s.Listen.Flows.String(), "registry", s.Registry.Address.String(), "metrics", s.Listen.Metrics.String(),
+		"seeds", len(s.Seeds), "link_mbps", s.LinkMbps, "config_apply_ms", s.Bounds.ConfigApply.Milliseconds(),
+		"drain_ms", s.Bounds.Drain.Milliseconds(), "stop_grace_ms", s.Bounds.StopGrace.Milliseconds(),
+		"flow_lifetime_ms", s.Bounds.FlowLifetime.Milliseconds(), "cold_margin", s.Bounds.ColdMargin)
 	var err error
 	select {
 	case err = <-ended:
--- a/internal/app/steer/reload.go
+++ b/internal/app/steer/reload.go
@@ -51,6 +51,13 @@
 	}
 }
 
+// boundsOfStart returns the bounds that only a start takes into force.
+func boundsOfStart(s *settings.Steer) settings.Bounds {
+	b := s.Bounds
+	b.StopGrace = 0
+	return b
+}
+
 // takeSettings takes new settings into force if they are valid. Addresses of the
 // own sockets and the instance's name hold until the next start.
 func (i *Instance) takeSettings(path string, data []byte) {
@@ -61,7 +68,7 @@
 	}
 	now := i.settings.Load()
 	restart := next.Instance != now.Instance || next.Listen != now.Listen || next.LinkMbps != now.LinkMbps ||
-		next.Log != now.Log || next.Bounds.FlowLifetime != now.Bounds.FlowLifetime || next.Bounds.ColdMargin != now.Bounds.ColdMargin
+		next.Log != now.Log || boundsOfStart(next) != boundsOfStart(now)
 	if next.Registry != now.Registry {
 		i.control.SetRegistry(i.platform.Registry(next))
 	}
--- a/internal/control/registry/control.go
+++ b/internal/control/registry/control.go
@@ -39,7 +39,9 @@
 	Registry port.Registry
 	Prober   port.Prober
 	Catalog  catalog.Settings
-	Log      logr.Logger
+	// ConfigBound is the time within which a configuration has to be in force.
+	ConfigBound time.Duration
+	Log         logr.Logger
 	// Seed starts the random pauses, so that instances do not call in step.
 	Seed uint64
 }
@@ -59,8 +61,8 @@
 
 // New checks the options and returns a Control that does not run yet.
 func New(o Options) (*Control, error) {
-	if o.Self.ID == "" || o.Self.Zone == "" || o.Peers == nil || o.Clock == nil || o.Registry == nil || o.Prober == nil || o.Catalog.Lifetime <= 0 {
-		return nil, merry.New("registry: instance, peers, clock, registry, prober and the lifetime of flows are required")
+	if o.Self.ID == "" || o.Self.Zone == "" || o.Peers == nil || o.Clock == nil || o.Registry == nil || o.Prober == nil || o.Catalog.Lifetime <= 0 || o.ConfigBound <= 0 {
+		return nil, merry.New("registry: instance, peers, clock, registry, prober, the lifetime of flows and the bound of configurations are required")
 	}
 	if o.Log.GetSink() == nil {
 		o.Log = logr.Discard()
--- a/internal/control/registry/feed.go
+++ b/internal/control/registry/feed.go
@@ -157,7 +157,7 @@
 	}
 	at := m.checkAt
 	if !m.watches() {
-		at = max(at, m.confirmed.Add(staleAfter+m.jitter))
+		at = max(at, m.confirmed.Add(m.pace.stale+m.jitter))
 	}
 	if m.now.Before(at) {
 		m.wake(at)
@@ -179,7 +179,7 @@
 
 func (m *machine) checked(e evChecked) {
 	m.checking = false
-	m.checkAt = m.checkSent.Add(checkEvery*3/4 + time.Duration(m.random.Int64N(int64(checkEvery/2))))
+	m.checkAt = m.checkSent.Add(m.pace.check*3/4 + time.Duration(m.random.Int64N(int64(m.pace.check/2))))
 	m.jitter = time.Duration(m.random.Int64N(int64(staleJitter)))
 	if e.err != nil {
 		m.checkFailed(e.err)
--- a/internal/control/registry/machine.go
+++ b/internal/control/registry/machine.go
@@ -15,10 +15,6 @@
 
 // Times of the control goroutine.
 const (
-	// checkEvery is how often the registry's revision is read beside the watch,
-	// because a watch may hear nothing although something changed. With settleTime
-	// and a listing it stays below the time for a configuration to be in force.
-	checkEvery = time.Second
 	// settleTime is how long the watch may take to deliver what a check named.
 	settleTime = 300 * time.Millisecond
 	// watchWait is the longest wait of a watch. A watch that is silent for good
@@ -44,6 +40,21 @@
 	publishEvery = 500 * time.Millisecond
 )
 
+// pace holds the times that follow from the bound within which a configuration
+// has to be in force.
+type pace struct {
+	// check is how often the registry's revision is read beside the watch, because
+	// a watch may hear nothing although something changed. With settleTime and a
+	// listing it stays below the bound.
+	check time.Duration
+	// stale is the age of the confirmation after which an instance that does not
+	// watch reads the revision itself: longer than the time between two
+	// confirmations by the watcher, with time left to list.
+	stale time.Duration
+}
+
+func paceOf(bound time.Duration) pace { return pace{check: bound / 3, stale: bound / 2} }
+
 // machine decides what to read from the registry and what it means. It runs in
 // the control goroutine only; it has no channel, lock or clock.
 type machine struct {
@@ -57,6 +68,7 @@
 	now  model.Time
 	next model.Time
 
+	pace    pace
 	peers   peers
 	changed bool // the snapshot needs to be built again
 
@@ -86,7 +98,8 @@
 
 func newMachine(o Options) *machine {
 	random := rand.New(rand.NewPCG(o.Seed, o.Seed^0x9e3779b97f4a7c15))
-	m := &machine{zone: o.Self.Zone, random: random, log: o.Log, catalog: catalog.New(o.Catalog)}
+	m := &machine{zone: o.Self.Zone, random: random, log: o.Log, catalog: catalog.New(o.Catalog),
+		pace: paceOf(o.ConfigBound)}
 	m.peers = peers{seeds: o.Seeds, table: member.New(o.Self, random), calls: map[uint32]*pendingCall{},
 		heard:  map[model.Zone]model.Time{},
 		placed: placement.NewMembers([]model.Member{o.Self})}
@@ -191,6 +204,7 @@
 	m.sequence++
 	s := m.registered
 	s.Sequence, s.ConfirmedAt, s.CutOff = m.sequence, m.confirmed, m.peers.cut
+	s.FreshFor = m.pace.stale
 	m.snapshot = &s
 }
 
--- a/internal/control/registry/machine_test.go
+++ b/internal/control/registry/machine_test.go
@@ -133,7 +133,7 @@
 func (f *fleet) start(i, zones int) {
 	at := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, 0, byte(i)}), 7000)
 	f.byAddr[at] = i
-	f.nodes[i] = newMachine(Options{Seed: uint64(i + 1), Log: logr.Discard(), Catalog: catalog.Settings{Lifetime: time.Minute},
+	f.nodes[i] = newMachine(Options{Seed: uint64(i + 1), Log: logr.Discard(), Catalog: catalog.Settings{Lifetime: time.Minute, UnlistedGrace: 2 * time.Second}, ConfigBound: 3 * time.Second,
 		Seeds: []netip.AddrPort{netip.MustParseAddrPort("10.1.0.0:7000")},
 		Self: model.Member{ID: model.InstanceID(fmt.Sprintf("n%02d", i)), Zone: model.Zone(fmt.Sprintf("z%d", i%zones)),
 			Incarnation: model.Incarnation(f.now + 1), PeerAddress: at}})
@@ -596,7 +596,7 @@
 func TestControlEndsWhileTheRegistryHangs(t *testing.T) {
 	begun := time.Now()
 	c, err := New(Options{Self: model.Member{ID: "n", Zone: "z", PeerAddress: netip.MustParseAddrPort("127.0.0.1:1")},
-		Peers: noPeers{}, Prober: noProber{}, Registry: neverAnswers{}, Catalog: catalog.Settings{Lifetime: time.Minute},
+		Peers: noPeers{}, Prober: noProber{}, Registry: neverAnswers{}, Catalog: catalog.Settings{Lifetime: time.Minute, UnlistedGrace: 2 * time.Second}, ConfigBound: 3 * time.Second,
 		Clock: clockFunc(func() model.Time { return model.Time(time.Since(begun)) + second })})
 	require.NoError(t, err)
 	ctx, cancel := context.WithCancel(t.Context())
--- a/internal/control/registry/peers.go
+++ b/internal/control/registry/peers.go
@@ -25,11 +25,6 @@
 	// keepDead is how long dead instances are probed: longer than partitions last
 	// that nobody repairs by hand.
 	keepDead = 10 * time.Minute
-	// staleAfter is the age of the confirmation after which an instance that does
-	// not watch reads the registry's revision itself. It is longer than the time
-	// between two confirmations by the watcher, and leaves time to list before a
-	// configuration must be in force.
-	staleAfter = 1500 * time.Millisecond
 	// staleJitter spreads these reads: the first one to succeed tells the others.
 	staleJitter = 300 * time.Millisecond
 	// transitTime is added to the age that a message states.
--- a/internal/core/catalog/catalog.go
+++ b/internal/core/catalog/catalog.go
@@ -10,10 +10,6 @@
 
 // Times of the catalog.
 const (
-	// UnlistedGrace is how long a server that vanished from the registry without
-	// draining may still get new flows. Entries that expired while the registry
-	// was away return within about two seconds.
-	UnlistedGrace = 2 * time.Second
 	// ReturnWatch is how long the servers of a zone that returns to service count
 	// as cold until their own entries say so: two heartbeats of a server.
 	ReturnWatch = 2500 * time.Millisecond
@@ -27,6 +23,9 @@
 type Settings struct {
 	// Lifetime is how long a flow may stay open.
 	Lifetime time.Duration
+	// UnlistedGrace is how long a server that vanished from the registry without
+	// draining may still get new flows, since its entry may return.
+	UnlistedGrace time.Duration
 	// DefaultIdleTimeout holds while no configuration states one.
 	DefaultIdleTimeout time.Duration
 }
@@ -228,7 +227,7 @@
 // may have expired while the registry was away and returns if the server lives.
 // ok is false while the registry is unreachable.
 func (c *Catalog) vanishedAt(s *server) (at model.Time, ok bool) {
-	return max(s.unlisted, c.contact).Add(UnlistedGrace), c.contact != 0
+	return max(s.unlisted, c.contact).Add(c.settings.UnlistedGrace), c.contact != 0
 }
 
 // TakeChanged reports whether the belief changed since the last call.
--- a/internal/core/catalog/catalog_test.go
+++ b/internal/core/catalog/catalog_test.go
@@ -17,7 +17,7 @@
 const second = model.Time(time.Second)
 
 func newCatalog() *Catalog {
-	c := New(Settings{Lifetime: time.Minute, DefaultIdleTimeout: 15 * time.Second})
+	c := New(Settings{Lifetime: time.Minute, UnlistedGrace: 2 * time.Second, DefaultIdleTimeout: 15 * time.Second})
 	c.SetContact(1, true)
 	c.Apply(1, &Entry{Key: "config", Revision: 1, Config: &Configuration{Version: 3,
 		Routes:   []Route{{Name: "r", Endpoint: steering.Endpoint{Address: 1, Port: 80}, Shares: []Share{{Service: "s", Weight: 1}}}},
@@ -91,7 +91,7 @@
 	c.Apply(3*second, &Entry{Key: "servers/a", Revision: 12, Removed: true})
 	require.Empty(t, eligible(c, 3*second))
 	require.Empty(t, departed(c, 4*second))
-	require.Equal(t, []string{"a/1"}, departed(c, 3*second+model.Time(UnlistedGrace)))
+	require.Equal(t, []string{"a/1"}, departed(c, 3*second+2*second))
 }
 
 // Guards against resets of a live server's flows after its entry expired while
--- a/internal/core/steering/steerer.go
+++ b/internal/core/steering/steerer.go
@@ -7,11 +7,6 @@
 	"github.com/savorytiller/savorytiller/internal/core/model"
 )
 
-// maxRouteAge is the age of the view of the registry up to which a missing route
-// is taken as removed or never added. It is below the time in which operators
-// expect a configuration to be in force.
-const maxRouteAge = 1500 * time.Millisecond
-
 // Verb says what to do with a packet.
 type Verb uint8
 
@@ -62,8 +57,8 @@
 
 // NewSteerer returns a Steerer without flows. A cold server bears coldMargin new
 // flows a second beside its rate.
-func NewSteerer(random *rand.Rand, coldMargin int) *Steerer {
-	return &Steerer{coldMargin: float64(coldMargin), random: random, flows: map[FlowKey]*flow{}, targets: map[Token]*target{},
+func NewSteerer(random *rand.Rand, coldMargin float64) *Steerer {
+	return &Steerer{coldMargin: coldMargin, random: random, flows: map[FlowKey]*flow{}, targets: map[Token]*target{},
 		loads: map[string]*serviceLoad{}}
 }
 
@@ -185,7 +180,7 @@
 // noRoute decides about a flow to an endpoint without a route. While the view of
 // the registry is old, the route may have been added meanwhile.
 func (s *Steerer) noRoute(now model.Time) Verdict {
-	if now.Sub(s.snapshot.ConfirmedAt) < maxRouteAge {
+	if s.snapshot.fresh(now) {
 		return Verdict{Verb: Reset, Reason: model.ReasonUnknownService}
 	}
 	return Verdict{Reason: model.ReasonUnknownService}
@@ -204,7 +199,7 @@
 		return Verdict{Reason: model.ReasonUnknownToken}
 	}
 	route := s.snapshot.Routes[p.Key.Route]
-	if route == nil && now.Sub(s.snapshot.ConfirmedAt) < maxRouteAge {
+	if route == nil && s.snapshot.fresh(now) {
 		return s.end(p, f, t, model.ReasonRouteRemoved)
 	}
 	if t.server.Departed && p.Flags&RST == 0 {
--- a/internal/core/steering/steering_test.go
+++ b/internal/core/steering/steering_test.go
@@ -51,7 +51,7 @@
 // use publishes a snapshot with the servers; departed ones get no new flows.
 func (r *rig) use(groups ...[]*Server) {
 	r.sequence++
-	s := &Snapshot{Sequence: r.sequence, Version: 1, Zone: "z", Neighbours: 1, ConfirmedAt: r.now,
+	s := &Snapshot{Sequence: r.sequence, Version: 1, Zone: "z", Neighbours: 1, ConfirmedAt: r.now, FreshFor: 1500 * time.Millisecond,
 		IdleTimeout: 15 * time.Second, Lifetime: time.Minute, Services: map[string]*Service{}}
 	s.Routes = map[Endpoint]*Route{routeA: {Name: "ra", Idempotent: true, Shares: []Share{{"a", 1}}},
 		routeB: {Name: "rb", Shares: []Share{{"b", 1}}}}
--- a/internal/core/steering/types.go
+++ b/internal/core/steering/types.go
@@ -138,6 +138,9 @@
 	Servers       []*Server
 }
 
+// fresh reports whether a route that the snapshot lacks does not exist.
+func (s *Snapshot) fresh(now model.Time) bool { return now.Sub(s.ConfirmedAt) < s.FreshFor }
+
 // Reaches reports whether every service that has servers has one that this
 // instance can probably reach. While it has none, other instances serve the
 // callers of the zone better.
@@ -172,6 +175,10 @@
 	CutOff bool
 	// ConfirmedAt is when the registry was last known to hold nothing newer.
 	ConfirmedAt model.Time
+	// FreshFor is the age of the confirmation up to which a missing route counts as
+	// removed or never added. It is below the time within which a configuration has
+	// to be in force.
+	FreshFor time.Duration
 	// IdleTimeout and Lifetime bound the flows.
 	IdleTimeout, Lifetime time.Duration
 }
