One copy of parts, HTTP serving and routes; name the configuration service's client

internal/app/parts and adapter/httpserve replace copies in two assemblies and three adapters; core/catalog uses core/steering's routes. adapter/platform, which is the client of the product's own configuration service, is adapter/configservice now, so that only platform/ is the users' platform.

--- a/internal/adapter/admin/admin.go
+++ b/internal/adapter/admin/admin.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 	"net/netip"
 	"strconv"
@@ -57,14 +56,6 @@
 	}
 }
 
-// Serve answers until the server is closed.
-func Serve(server *http.Server, l net.Listener) error {
-	if err := server.Serve(l); err != http.ErrServerClosed {
-		return err
-	}
-	return nil
-}
-
 func (s Source) ready(w http.ResponseWriter, _ *http.Request) {
 	if why := Unready(s.Views.View(), s.Clock.Now()); why != model.ReasonNone {
 		answer(w, http.StatusServiceUnavailable, Problem{Error: why.String()})
--- a/internal/adapter/platform/client.go
+++ b/internal/adapter/configservice/client.go
@@ -1,6 +1,6 @@
-// Package platform reads the platform's configuration service and instance
+// Package configservice reads the platform's configuration service and instance
 // list over HTTP and decodes their JSON values.
-package platform
+package configservice
 
 import (
 	"context"
--- a/internal/adapter/platform/codec_test.go
+++ b/internal/adapter/configservice/codec_test.go
@@ -1,4 +1,4 @@
-package platform
+package configservice
 
 import (
 	"context"
--- /dev/null
+++ b/internal/adapter/httpserve/httpserve.go
@@ -0,0 +1,15 @@
+// Package httpserve runs the HTTP servers of an instance.
+package httpserve
+
+import (
+	"net"
+	"net/http"
+)
+
+// Serve answers until the server is closed.
+func Serve(server *http.Server, l net.Listener) error {
+	if err := server.Serve(l); err != http.ErrServerClosed {
+		return err
+	}
+	return nil
+}
--- a/internal/adapter/operatorcli/note.go
+++ b/internal/adapter/operatorcli/note.go
@@ -6,7 +6,7 @@
 	"io"
 	"os"
 
-	"github.com/savorytiller/savorytiller/internal/adapter/platform"
+	"github.com/savorytiller/savorytiller/internal/adapter/configservice"
 	"github.com/savorytiller/savorytiller/internal/core/model"
 	"github.com/savorytiller/savorytiller/internal/core/note"
 )
@@ -64,7 +64,7 @@
 	if err != nil {
 		return nil, err
 	}
-	decoded, err := platform.Codec{}.DecodeNote(raw)
+	decoded, err := configservice.Codec{}.DecodeNote(raw)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/adapter/readiness/readiness.go
+++ b/internal/adapter/readiness/readiness.go
@@ -2,7 +2,6 @@
 package readiness
 
 import (
-	"net"
 	"net/http"
 	"time"
 )
@@ -23,11 +22,3 @@
 	})
 	return &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
 }
-
-// Serve serves until the server is closed.
-func Serve(s *http.Server, l net.Listener) error {
-	if err := s.Serve(l); err != http.ErrServerClosed {
-		return err
-	}
-	return nil
-}
--- a/internal/adapter/steerstatus/status.go
+++ b/internal/adapter/steerstatus/status.go
@@ -7,7 +7,6 @@
 	"cmp"
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 	"slices"
 	"time"
@@ -86,14 +85,6 @@
 	return &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout, WriteTimeout: answerTimeout, IdleTimeout: answerTimeout}
 }
 
-// Serve answers until the server is closed.
-func Serve(server *http.Server, l net.Listener) error {
-	if err := server.Serve(l); err != http.ErrServerClosed {
-		return err
-	}
-	return nil
-}
-
 func (s *Source) status() Status {
 	out := Status{Instance: s.Instance, Ready: s.Ready(), Flows: s.Flows(), Servers: []Server{}}
 	v, now := s.Snapshots.Snapshot(), s.Clock.Now()
--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -12,14 +12,16 @@
 	"github.com/savorytiller/savorytiller/internal/adapter/admin"
 	"github.com/savorytiller/savorytiller/internal/adapter/backendhttp"
 	"github.com/savorytiller/savorytiller/internal/adapter/clock"
+	"github.com/savorytiller/savorytiller/internal/adapter/configservice"
 	"github.com/savorytiller/savorytiller/internal/adapter/geneve"
 	"github.com/savorytiller/savorytiller/internal/adapter/httpfront"
+	"github.com/savorytiller/savorytiller/internal/adapter/httpserve"
 	"github.com/savorytiller/savorytiller/internal/adapter/logging"
 	"github.com/savorytiller/savorytiller/internal/adapter/metrics"
 	"github.com/savorytiller/savorytiller/internal/adapter/peerrpc"
-	"github.com/savorytiller/savorytiller/internal/adapter/platform"
 	"github.com/savorytiller/savorytiller/internal/adapter/serverhealth"
 	"github.com/savorytiller/savorytiller/internal/adapter/settings"
+	"github.com/savorytiller/savorytiller/internal/app/parts"
 	"github.com/savorytiller/savorytiller/internal/control"
 	"github.com/savorytiller/savorytiller/internal/core/model"
 	"github.com/savorytiller/savorytiller/internal/core/placement"
@@ -107,7 +109,7 @@
 }
 
 func (i *Instance) newControl() error {
-	client, err := platform.New(platform.Options{ConfigURL: i.settings.Platform.URL, InstancesURL: i.settings.Platform.URL})
+	client, err := configservice.New(configservice.Options{ConfigURL: i.settings.Platform.URL, InstancesURL: i.settings.Platform.URL})
 	if err != nil {
 		return err
 	}
@@ -116,7 +118,7 @@
 		Clock:     i.clock,
 		Config:    client,
 		Instances: client,
-		Codec:     platform.Codec{},
+		Codec:     configservice.Codec{},
 		Peers:     i.peers,
 		Health:    serverhealth.New(),
 		Recorder:  i.recorder,
@@ -195,22 +197,16 @@
 	return nil
 }
 
-// part is a piece of the instance that runs until its context ends.
-type part struct {
-	name string
-	run  func(ctx context.Context) error
-}
-
-func (i *Instance) parts() []part {
-	return []part{
-		{"control", i.control.Run},
-		{"peer", func(ctx context.Context) error { return i.peers.Serve(ctx, i.sockets.peers) }},
-		{"flow workers", func(ctx context.Context) error { i.flows.Run(ctx); return nil }},
-		{"flow socket", func(ctx context.Context) error {
+func (i *Instance) parts() []parts.Part {
+	return []parts.Part{
+		{Name: "control", Run: i.control.Run},
+		{Name: "peer", Run: func(ctx context.Context) error { return i.peers.Serve(ctx, i.sockets.peers) }},
+		{Name: "flow workers", Run: func(ctx context.Context) error { i.flows.Run(ctx); return nil }},
+		{Name: "flow socket", Run: func(ctx context.Context) error {
 			return i.sockets.flows.Serve(ctx, i.flows.NewReader().Receive)
 		}},
-		{"request worker", i.requests.Run},
-		{"request front end", func(context.Context) error { return i.front.Serve(i.sockets.requests) }},
-		{"operators", func(context.Context) error { return admin.Serve(i.operators, i.sockets.operators) }},
+		{Name: "request worker", Run: i.requests.Run},
+		{Name: "request front end", Run: func(context.Context) error { return i.front.Serve(i.sockets.requests) }},
+		{Name: "operators", Run: func(context.Context) error { return httpserve.Serve(i.operators, i.sockets.operators) }},
 	}
 }
--- a/internal/app/run.go
+++ b/internal/app/run.go
@@ -7,14 +7,13 @@
 
 	"github.com/ansel1/merry/v2"
 
+	"github.com/savorytiller/savorytiller/internal/app/parts"
 	"github.com/savorytiller/savorytiller/internal/core/flow"
 	"github.com/savorytiller/savorytiller/internal/core/model"
 )
 
 // Errors of Run.
 var (
-	// ErrPartEnded means that a part ended while the instance was to run.
-	ErrPartEnded = merry.Sentinel("a part has ended")
 	// ErrInterrupted means that the shutdown ended before all work was finished.
 	ErrInterrupted = merry.Sentinel("shutdown was interrupted")
 )
@@ -25,18 +24,9 @@
 // limit of the settings, ends it at once with ErrInterrupted.
 func (i *Instance) Run(leave, stop context.Context) error {
 	ctx, cancel := context.WithCancel(context.WithoutCancel(stop))
-	parts := i.parts()
-	ended := make(chan error, len(parts))
 	var group sync.WaitGroup
-	for _, p := range parts {
-		group.Go(func() {
-			err := p.run(ctx)
-			// The front end ends by itself in a graceful shutdown.
-			if ctx.Err() == nil && (err != nil || leave.Err() == nil) {
-				ended <- merry.Wrap(ErrPartEnded, merry.WithCause(err), merry.AppendMessagef("%s: %v", p.name, err))
-			}
-		})
-	}
+	// The front end ends by itself in a graceful shutdown.
+	ended := parts.Start(ctx, &group, i.parts(), func() bool { return leave.Err() == nil })
 	i.log.Info("instance is listening", "id", i.settings.Instance.ID, "zone", i.settings.Instance.Zone,
 		"addresses", i.Addresses())
 
@@ -51,7 +41,7 @@
 	}
 	cancel()
 	i.close()
-	if !waitFor(&group, endLimit) {
+	if !parts.WaitFor(&group, endLimit) {
 		i.log.Info("a part has not ended, leaving it behind")
 	}
 	i.log.Info("instance has stopped")
@@ -74,20 +64,6 @@
 	i.backends.Close()
 }
 
-// waitFor reports whether the group has ended within the limit.
-func waitFor(group *sync.WaitGroup, limit time.Duration) bool {
-	done := make(chan struct{})
-	go func() { group.Wait(); close(done) }()
-	timer := time.NewTimer(limit)
-	defer timer.Stop()
-	select {
-	case <-done:
-		return true
-	case <-timer.C:
-		return false
-	}
-}
-
 // shutDown runs the steps of a graceful shutdown. Traffic and control continue
 // to run meanwhile.
 func (i *Instance) shutDown(stop context.Context, ended <-chan error) error {
--- a/internal/app/shutdown_test.go
+++ b/internal/app/shutdown_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/savorytiller/savorytiller/internal/adapter/admin"
+	"github.com/savorytiller/savorytiller/internal/app/parts"
 )
 
 // heldServer is a backend server that answers a check only once it is released.
@@ -160,7 +161,7 @@
 	r := startInstance(t, p, "halle-a-1", "halle-a")
 	require.NoError(t, r.sockets.operators.Close())
 	err := <-r.ended
-	require.ErrorIs(t, err, ErrPartEnded)
+	require.ErrorIs(t, err, parts.ErrEnded)
 	require.ErrorContains(t, err, "operators")
 	require.NotErrorIs(t, err, context.Canceled)
 }
--- a/internal/app/steer/instance.go
+++ b/internal/app/steer/instance.go
@@ -15,6 +15,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/savorytiller/savorytiller/internal/adapter/clock"
+	"github.com/savorytiller/savorytiller/internal/adapter/httpserve"
 	"github.com/savorytiller/savorytiller/internal/adapter/logging"
 	"github.com/savorytiller/savorytiller/internal/adapter/metrics"
 	"github.com/savorytiller/savorytiller/internal/adapter/peerudp"
@@ -22,6 +23,7 @@
 	"github.com/savorytiller/savorytiller/internal/adapter/settings"
 	"github.com/savorytiller/savorytiller/internal/adapter/steerstatus"
 	"github.com/savorytiller/savorytiller/internal/adapter/udp"
+	"github.com/savorytiller/savorytiller/internal/app/parts"
 	"github.com/savorytiller/savorytiller/internal/control/registry"
 	"github.com/savorytiller/savorytiller/internal/core/catalog"
 	"github.com/savorytiller/savorytiller/internal/core/model"
@@ -54,9 +56,6 @@
 // decisionsKept is the number of decisions in memory for each part.
 const decisionsKept = 256
 
-// ErrPartEnded means that a part ended while the instance was to run.
-var ErrPartEnded = merry.Sentinel("a part has ended")
-
 // Platform makes the adapters of the platform that an instance runs on.
 type Platform struct {
 	Codec func(*settings.Steer) port.PacketCodec
@@ -153,35 +152,21 @@
 	return !i.leaving.Load() && s != nil && s.Reaches()
 }
 
-// part is a piece of the instance that runs until its context ends.
-type part struct {
-	name string
-	run  func(ctx context.Context) error
-}
-
 // Run serves until leave ends, then shuts down gracefully and returns nil.
 func (i *Instance) Run(leave context.Context, r Reloader) error {
 	ctx, cancel := context.WithCancel(context.WithoutCancel(leave))
-	parts := []part{
-		{"control", i.control.Run},
-		{"peers", func(ctx context.Context) error { return i.peers.Serve(ctx, i.control.Receive) }},
-		{"settings", func(ctx context.Context) error { return i.reload(ctx, r) }},
-		{"traffic", i.worker.Run},
-		{"readiness", func(context.Context) error { return readiness.Serve(i.ready, i.listener) }},
+	all := []parts.Part{
+		{Name: "control", Run: i.control.Run},
+		{Name: "peers", Run: func(ctx context.Context) error { return i.peers.Serve(ctx, i.control.Receive) }},
+		{Name: "settings", Run: func(ctx context.Context) error { return i.reload(ctx, r) }},
+		{Name: "traffic", Run: i.worker.Run},
+		{Name: "readiness", Run: func(context.Context) error { return httpserve.Serve(i.ready, i.listener) }},
 	}
 	if i.status != nil {
-		parts = append(parts, part{"status", func(context.Context) error { return steerstatus.Serve(i.status, i.statusListener) }})
+		all = append(all, parts.Part{Name: "status", Run: func(context.Context) error { return httpserve.Serve(i.status, i.statusListener) }})
 	}
-	ended := make(chan error, len(parts))
 	var group sync.WaitGroup
-	for _, p := range parts {
-		group.Go(func() {
-			err := p.run(ctx)
-			if ctx.Err() == nil {
-				ended <- merry.Wrap(ErrPartEnded, merry.WithCause(err), merry.AppendMessagef("%s: %v", p.name, err))
-			}
-		})
-	}
+	ended := parts.Start(ctx, &group, all, func() bool { return true })
 	s := i.settings.Load()
 	i.log.Info("started", "id", s.Instance.ID, "zone", s.Instance.Zone,
 		"flows", s.Listen.Flows.String(), "registry", s.Registry.Address.String(), "metrics", s.Listen.Metrics.String(),
@@ -201,7 +186,9 @@
 	if i.status != nil {
 		_ = i.status.Close()
 	}
-	waitFor(&group, endLimit)
+	if !parts.WaitFor(&group, endLimit) {
+		i.log.Info("a part has not ended, leaving it behind")
+	}
 	i.log.Info("stopped")
 	return err
 }
@@ -230,15 +217,3 @@
 		}
 	}
 }
-
-// waitFor waits for a group, at most for the limit.
-func waitFor(group *sync.WaitGroup, limit time.Duration) {
-	done := make(chan struct{})
-	go func() { group.Wait(); close(done) }()
-	timer := time.NewTimer(limit)
-	defer timer.Stop()
-	select {
-	case <-done:
-	case <-timer.C:
-	}
-}
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/savorytiller/savorytiller/internal/adapter/platform"
+	"github.com/savorytiller/savorytiller/internal/adapter/configservice"
 	"github.com/savorytiller/savorytiller/internal/core/model"
 	"github.com/savorytiller/savorytiller/internal/port"
 )
@@ -59,7 +59,7 @@
 func TestRunPublishesTheConfiguration(t *testing.T) {
 	p := &oneNote{}
 	c, err := New(Options{Self: testMember("a-1", "a"), Clock: wallClock{time.Now()}, Config: p, Instances: p,
-		Codec: platform.Codec{}, Peers: p, AssumeWarm: true, Seed: 1})
+		Codec: configservice.Codec{}, Peers: p, AssumeWarm: true, Seed: 1})
 	require.NoError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error)
--- a/internal/control/cost_test.go
+++ b/internal/control/cost_test.go
@@ -12,7 +12,7 @@
 	"testing"
 	"time"
 
-	"github.com/savorytiller/savorytiller/internal/adapter/platform"
+	"github.com/savorytiller/savorytiller/internal/adapter/configservice"
 	"github.com/savorytiller/savorytiller/internal/core/health"
 	"github.com/savorytiller/savorytiller/internal/core/member"
 	"github.com/savorytiller/savorytiller/internal/core/model"
@@ -61,7 +61,7 @@
 		b.members = append(b.members, model.Member{ID: model.InstanceID(fmt.Sprintf("entry-%05d", i)), Incarnation: 1_790_000_000_000_000_000,
 			Zone: model.Zone(fmt.Sprintf("zone-%02d", i%l.zones)), FlowAddress: a, PeerAddress: a, RequestAddress: a})
 	}
-	b.m = newMachine(Options{Self: b.members[0], Codec: platform.Codec{}, Recorder: noRecorder{}, Seed: 1, AssumeWarm: true})
+	b.m = newMachine(Options{Self: b.members[0], Codec: configservice.Codec{}, Recorder: noRecorder{}, Seed: 1, AssumeWarm: true})
 	b.step(evTimer{})
 	b.step(evInstances{b.members, nil})
 	for _, raw := range b.config() {
--- a/internal/control/sim_test.go
+++ b/internal/control/sim_test.go
@@ -9,7 +9,7 @@
 	"reflect"
 	"time"
 
-	"github.com/savorytiller/savorytiller/internal/adapter/platform"
+	"github.com/savorytiller/savorytiller/internal/adapter/configservice"
 	"github.com/savorytiller/savorytiller/internal/core/model"
 	"github.com/savorytiller/savorytiller/internal/core/view"
 	"github.com/savorytiller/savorytiller/internal/port"
@@ -135,7 +135,7 @@
 func (n *simNode) start() {
 	s := n.s
 	n.self.Incarnation = model.Incarnation(s.now)
-	o := Options{Self: n.self, Codec: platform.Codec{}, Recorder: noRecorder{}, Seed: s.rng.Uint64()}
+	o := Options{Self: n.self, Codec: configservice.Codec{}, Recorder: noRecorder{}, Seed: s.rng.Uint64()}
 	if s.adjust != nil {
 		s.adjust(&o)
 	}
--- a/internal/core/catalog/snapshot.go
+++ b/internal/core/catalog/snapshot.go
@@ -19,7 +19,7 @@
 		s.Routes = make(map[steering.Endpoint]*steering.Route, len(c.config.Routes))
 		for i := range c.config.Routes {
 			r := &c.config.Routes[i]
-			s.Routes[r.Endpoint] = &steering.Route{Name: r.Name, Idempotent: r.Idempotent, Shares: shares(r)}
+			s.Routes[r.Endpoint] = r
 		}
 		if c.config.IdleTimeout > 0 {
 			s.IdleTimeout = c.config.IdleTimeout
@@ -30,14 +30,6 @@
 	return b.next
 }
 
-func shares(r *Route) []steering.Share {
-	all := make([]steering.Share, len(r.Shares))
-	for i, s := range r.Shares {
-		all[i] = steering.Share{Service: s.Service, Weight: s.Weight}
-	}
-	return all
-}
-
 // builder collects the servers of one snapshot.
 type builder struct {
 	catalog *Catalog
--- a/internal/core/catalog/types.go
+++ b/internal/core/catalog/types.go
@@ -12,19 +12,11 @@
 	"github.com/savorytiller/savorytiller/internal/core/steering"
 )
 
-// Share is a service's part of a route's new flows.
-type Share struct {
-	Service string
-	Weight  int
-}
-
-// Route leads the flows of one endpoint to services.
-type Route struct {
-	Name       string
-	Endpoint   steering.Endpoint
-	Idempotent bool
-	Shares     []Share
-}
+// Route and Share are as traffic uses them.
+type (
+	Route = steering.Route
+	Share = steering.Share
+)
 
 // Service holds what operators say of a service.
 type Service struct {
--- a/internal/core/steering/types.go
+++ b/internal/core/steering/types.go
@@ -121,8 +121,9 @@
 
 // Route leads the flows of one endpoint to services.
 type Route struct {
-	Name   string
-	Shares []Share
+	Name     string
+	Endpoint Endpoint
+	Shares   []Share
 	// Idempotent is set if callers may repeat the requests of the route.
 	Idempotent bool
 }
