--- a/internal/control/registry/peers.go
+++ b/internal/control/registry/peers.go
@@ -503,7 +503,9 @@
 	cut := heard && m.now.Sub(last) >= cutAfter || !heard && (starting || told || p.table.OtherZones())
 	if cut != p.cut {
 		p.cut, m.changed = cut, true
-		m.log.Info("zone cut off", "cut_off", cut, "heard", heard, "heard_ms_ago", m.now.Sub(last).Milliseconds())
+		if !starting {
+			m.log.Info("zone cut off", "cut_off", cut, "heard", heard, "heard_ms_ago", m.now.Sub(last).Milliseconds())
+		}
 	}
 	if !cut {
 		m.wake(last.Add(cutAfter))
