--- /dev/null
+++ b/internal/control/registry/fleet_test.go
@@ -0,0 +1,290 @@
+package registry
+
+import (
+	"cmp"
+
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/stretchr/testify/require"
+
+	"github.com/savorytiller/savorytiller/internal/core/catalog"
+	"github.com/savorytiller/savorytiller/internal/core/model"
+	"github.com/savorytiller/savorytiller/internal/core/steering"
+	"github.com/savorytiller/savorytiller/internal/port"
+)
+
+const (
+	ms     = model.Time(time.Millisecond)
+	second = 1000 * ms
+)
+
+// store is a registry in simulated time.
+type store struct {
+	revision uint64
+	entries  map[string]catalog.Entry
+	history  []catalog.Entry
+	// compacted is the revision up to which the history is gone.
+	compacted uint64
+	// down refuses calls of instances; deaf makes watches hear nothing.
+	down func(node int) bool
+	deaf bool
+	// calls counts by kind.
+	calls map[string]int
+}
+
+func (s *store) put(e catalog.Entry) uint64 {
+	s.revision++
+	e.Revision = s.revision
+	s.history = append(s.history, e)
+	if e.Removed {
+		delete(s.entries, e.Key)
+	} else {
+		s.entries[e.Key] = e
+	}
+	return s.revision
+}
+
+func (s *store) config(version uint64, routes int) uint64 {
+	c := &catalog.Configuration{Version: version, Services: []catalog.Service{{Name: "s"}}}
+	for i := range routes {
+		c.Routes = append(c.Routes, catalog.Route{Name: fmt.Sprint(i), Endpoint: steering.Endpoint{Address: 1, Port: uint16(i)},
+			Shares: []catalog.Share{{Service: "s", Weight: 1}}})
+	}
+	return s.put(catalog.Entry{Key: "config", Config: c})
+}
+
+func (s *store) server(id string) uint64 {
+	return s.put(catalog.Entry{Key: "servers/" + id, Server: &catalog.ServerEntry{ID: model.ServerID(id), Number: 1,
+		Address: netip.MustParseAddrPort("10.0.0.1:80"), Service: "s", Zone: "z0", Slots: 4}})
+}
+
+func (s *store) list() catalog.Changes {
+	out := catalog.Changes{Revision: s.revision}
+	for _, e := range s.entries {
+		out.Entries = append(out.Entries, e)
+	}
+	slices.SortFunc(out.Entries, func(a, b catalog.Entry) int { return cmp.Compare(a.Key, b.Key) })
+	return out
+}
+
+func (s *store) since(after uint64) (catalog.Changes, error) {
+	if after < s.compacted {
+		return catalog.Changes{}, port.ErrCompacted
+	}
+	out := catalog.Changes{Revision: s.revision}
+	for _, e := range s.history {
+		if e.Revision > after {
+			out.Entries = append(out.Entries, e)
+		}
+	}
+	return out, nil
+}
+
+// delivery is an event on its way to an instance.
+type delivery struct {
+	at   model.Time
+	node int
+	e    event
+}
+
+// watch is a watch that waits at the store.
+type watch struct {
+	node       int
+	generation int
+	after      uint64
+	until      model.Time
+}
+
+// fleet drives the machines of instances with a store and a network.
+type fleet struct {
+	t        *testing.T
+	store    *store
+	nodes    []*machine
+	alive    []bool
+	byAddr   map[netip.AddrPort]int
+	queue    []delivery
+	watches  []watch
+	now      model.Time
+	cut      func(from, to int) bool
+	random   *rand.Rand
+	loss     float64
+	snapshot []*steering.Snapshot
+	messages int
+}
+
+// newFleet returns instances in zones z0, z1, ... that know the first as seed.
+func newFleet(t *testing.T, n, zones int) *fleet {
+	f := &fleet{t: t, byAddr: map[netip.AddrPort]int{}, random: rand.New(rand.NewPCG(1, uint64(n))),
+		store: &store{entries: map[string]catalog.Entry{}, calls: map[string]int{}},
+		alive: make([]bool, n), snapshot: make([]*steering.Snapshot, n), nodes: make([]*machine, n)}
+	for i := range n {
+		f.start(i, zones)
+	}
+	return f
+}
+
+func (f *fleet) start(i, zones int) {
+	at := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, 0, byte(i)}), 7000)
+	f.byAddr[at] = i
+	f.nodes[i] = newMachine(Options{Seed: uint64(i + 1), Log: logr.Discard(), Catalog: catalog.Settings{Lifetime: time.Minute, UnlistedGrace: 2 * time.Second}, ConfigBound: 3 * time.Second,
+		Seeds: []netip.AddrPort{netip.MustParseAddrPort("10.1.0.0:7000")},
+		Self: model.Member{ID: model.InstanceID(fmt.Sprintf("n%02d", i)), Zone: model.Zone(fmt.Sprintf("z%d", i%zones)),
+			Incarnation: model.Incarnation(f.now + 1), PeerAddress: at}})
+	f.alive[i], f.snapshot[i] = true, nil
+	f.post(f.now+model.Time(f.random.IntN(300))*ms, i, nil)
+}
+
+func (f *fleet) kill(i int) {
+	f.alive[i] = false
+	f.watches = slices.DeleteFunc(f.watches, func(w watch) bool { return w.node == i })
+	f.queue = slices.DeleteFunc(f.queue, func(d delivery) bool { return d.node == i })
+}
+
+func (f *fleet) post(at model.Time, node int, e event) {
+	f.queue = append(f.queue, delivery{at, node, e})
+}
+
+// run advances the time.
+func (f *fleet) run(d time.Duration) {
+	end := f.now.Add(d)
+	for {
+		f.wakeWatches()
+		next := -1
+		for i := range f.queue {
+			if f.queue[i].at <= end && (next < 0 || f.queue[i].at < f.queue[next].at) {
+				next = i
+			}
+		}
+		if next < 0 {
+			f.now = end
+			return
+		}
+		e := f.queue[next]
+		f.queue = slices.Delete(f.queue, next, next+1)
+		f.now = max(f.now, e.at)
+		if f.alive[e.node] {
+			f.step(e.node, e.e)
+		}
+	}
+}
+
+// timer marks the wake-up of an instance, of which only the last one counts.
+type timer struct{}
+
+func (f *fleet) step(node int, e event) {
+	m := f.nodes[node]
+	if _, ok := e.(timer); ok {
+		e = nil
+	}
+	m.handle(f.now, e)
+	for _, x := range m.takeEffects() {
+		f.effect(node, x)
+	}
+	if s := m.takeSnapshot(); s != nil {
+		if old := f.snapshot[node]; old != nil {
+			require.GreaterOrEqual(f.t, s.Version, old.Version, "instance %d went back", node)
+		}
+		f.snapshot[node] = s
+	}
+	f.queue = slices.DeleteFunc(f.queue, func(d delivery) bool {
+		_, ok := d.e.(timer)
+		return ok && d.node == node
+	})
+	f.post(m.next, node, timer{})
+}
+
+func (f *fleet) effect(node int, x effect) {
+	down := f.store.down != nil && f.store.down(node)
+	switch x := x.(type) {
+	case effList:
+		f.store.calls["list"]++
+		e := evChanges{generation: x.generation, whole: true, changes: f.store.list()}
+		if down {
+			e = evChanges{generation: x.generation, whole: true, err: port.ErrUnavailable}
+		}
+		f.post(f.now+5*ms, node, e)
+	case effCheck:
+		f.store.calls["check"]++
+		e := evChecked{revision: f.store.revision}
+		if down {
+			e = evChecked{err: port.ErrUnavailable}
+		}
+		f.post(f.now+5*ms, node, e)
+	case effWatch:
+		f.store.calls["watch"]++
+		if down {
+			f.post(f.now+5*ms, node, evChanges{generation: x.generation, err: port.ErrUnavailable})
+			return
+		}
+		f.watches = append(f.watches, watch{node, x.generation, x.after, f.now.Add(watchWait)})
+		f.post(f.now.Add(watchWait), node, nil)
+	case effCancel:
+		f.watches = slices.DeleteFunc(f.watches, func(w watch) bool { return w.node == node })
+	case effSend:
+		f.messages++
+		to, ok := f.byAddr[x.to]
+		if !ok || f.cut != nil && f.cut(node, to) || f.random.Float64() < f.loss {
+			return
+		}
+		copied := *x.message
+		copied.Entries = slices.Clone(x.message.Entries)
+		f.post(f.now+ms+model.Time(f.random.IntN(4))*ms, to, evMessage{&copied})
+	}
+}
+
+// wakeWatches answers the watches that have something to tell.
+func (f *fleet) wakeWatches() {
+	f.watches = slices.DeleteFunc(f.watches, func(w watch) bool {
+		changes, err := f.store.since(w.after)
+		over := !f.now.Before(w.until)
+		if f.store.deaf || err == nil && len(changes.Entries) == 0 && !over {
+			return false
+		}
+		f.post(f.now+5*ms, w.node, evChanges{generation: w.generation, changes: changes, err: err})
+		return true
+	})
+}
+
+// versions returns the versions in force at the living instances.
+func (f *fleet) versions() map[uint64]int {
+	out := map[uint64]int{}
+	for i, s := range f.snapshot {
+		if f.alive[i] {
+			if s == nil {
+				out[0]++
+			} else {
+				out[s.Version]++
+			}
+		}
+	}
+	return out
+}
+
+// everywhere returns how long it takes until a version is in force everywhere.
+func (f *fleet) everywhere(version uint64, limit time.Duration) time.Duration {
+	begun := f.now
+	for f.now.Sub(begun) < limit {
+		f.run(10 * time.Millisecond)
+		if v := f.versions(); len(v) == 1 && v[version] > 0 {
+			return f.now.Sub(begun)
+		}
+	}
+	f.t.Fatalf("version %d is not in force after %v: %v", version, limit, f.versions())
+	return 0
+}
+
+// settled returns a fleet that has run for some seconds with configuration 3.
+func settled(t *testing.T, n, zones int) *fleet {
+	f := newFleet(t, n, zones)
+	f.store.config(3, 20)
+	f.store.server("a")
+	f.run(10 * time.Second)
+	require.Equal(t, map[uint64]int{3: n}, f.versions())
+	return f
+}
