--- a/internal/control/registry/fleet_test.go
+++ b/internal/control/registry/fleet_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
