--- a/internal/core/steering/place.go
+++ b/internal/core/steering/place.go
@@ -12,13 +12,15 @@
 // at most. The difference covers what packets may be delayed.
 const coldWindow = 1200 * time.Millisecond
 
-// load weights of an open flow between its requests, see service.idleLoad.
+// Load of an open flow between its requests.
 const (
-	// idleWeight is how fast the mean load of an open flow follows observations.
-	idleWeight = 0.02
-	// firstIdleLoad holds until there are observations: feeds ask about once a
+	// perFlowWeight is how fast the mean load of an open flow follows observations.
+	perFlowWeight = 0.02
+	// firstPerFlow holds until there are observations: feeds ask about once a
 	// second and are answered in some ten milliseconds.
-	firstIdleLoad = 0.05
+	firstPerFlow = 0.05
+	// jitter spreads the choices of instances that see no load.
+	jitter = 0.01
 )
 
 // serviceLoad is what placement measured of a service.
@@ -27,7 +29,7 @@
 	perFlow float64
 }
 
-// candidate classes in the order of preference.
+// Classes of candidates in the order of preference.
 const (
 	classReady   = iota // own zone, with a free slot
 	classBusy           // another zone, or slots taken
@@ -64,12 +66,12 @@
 }
 
 // place chooses the server of a new flow: in the own zone as long as a slot is
-// free there, else in any, by the lowest load. avoid is a server that left this flow without
-// an answer, or nil.
+// free there, else in any, by the lowest load. avoid is a server that left this
+// flow without an answer, or nil.
 func (s *Steerer) place(service *Service, avoid *target, now model.Time) *target {
 	load := s.loads[service.Name]
 	if load == nil {
-		load = &serviceLoad{perFlow: firstIdleLoad}
+		load = &serviceLoad{perFlow: firstPerFlow}
 		s.loads[service.Name] = load
 	}
 	var best *target
@@ -79,25 +81,24 @@
 		t := s.targetOf(server)
 		flows += t.flows
 		busy += t.busy
-		if t == avoid {
-			continue
+		if t == avoid || server.Token == 0 {
+			continue // without a token of its own its flows could not go on
 		}
 		score := s.score(t, load)
 		class := s.class(t, service, score, now)
-		if server.Zone != s.snapshot.Zone {
-			score += farLoad
-		}
-		// A small random part spreads the choices of instances that see no load.
-		score += 0.01 * s.random.Float64()
 		if class == classNone {
 			continue
 		}
+		if server.Zone != s.snapshot.Zone {
+			score += farLoad
+		}
+		score += jitter * s.random.Float64()
 		if class < bestClass || class == bestClass && score < bestScore {
 			best, bestClass, bestScore = t, class, score
 		}
 	}
 	if flows > 0 {
-		load.perFlow += idleWeight * (float64(busy)/float64(flows) - load.perFlow)
+		load.perFlow += perFlowWeight * (float64(busy)/float64(flows) - load.perFlow)
 	}
 	if best == nil && avoid != nil && s.class(avoid, service, 0, now) != classNone {
 		best = avoid
--- a/internal/core/steering/steering_test.go
+++ b/internal/core/steering/steering_test.go
@@ -373,6 +373,16 @@
 	require.Equal(t, 1, busy)
 }
 
+// Guards against a flow on a server whose tokens all collide: its later packets
+// could not name it.
+func TestServerWithoutTokenGetsNoFlow(t *testing.T) {
+	r := newRig(t)
+	list := servers("a", "z", 2)
+	list[1].ID = list[0].ID
+	r.use(list, servers("b", "z", 1))
+	require.Equal(t, model.ReasonNoCapacity, r.syn(1, routeA, 0).Reason)
+}
+
 // Guards against two servers that share a token.
 func TestTokensThatCollideNameNoWrongServer(t *testing.T) {
 	var all []*Server
