Derive the duties of an instance once a change of members; split an update once

Whether this instance watches or relays was worked out from all members several times an event; it follows from the placed members, and is derived when they change. An update was split into messages anew for each instance that gets it. The length of a cold start was decoded, carried between instances and read by nobody; a check for a missing set of members could not apply. Behaviour is unchanged.

--- a/internal/adapter/peerudp/codec.go
+++ b/internal/adapter/peerudp/codec.go
@@ -75,7 +75,6 @@
 	Name          string
 	HealthPath    string
 	ColdPerSecond float64
-	ColdStartMs   uint32
 }
 
 type wireRoute struct {
@@ -165,7 +164,7 @@
 	for _, s := range c.Services {
 		places[s.Name] = len(w.Services)
 		w.Services = append(w.Services, wireService{Name: s.Name, HealthPath: s.HealthPath,
-			ColdPerSecond: s.ColdPerSecond, ColdStartMs: uint32(s.ColdStart.Milliseconds())})
+			ColdPerSecond: s.ColdPerSecond})
 	}
 	for i := range c.Routes {
 		r := &c.Routes[i]
@@ -258,7 +257,7 @@
 	c := &catalog.Configuration{Version: w.Version, IdleTimeout: time.Duration(w.IdleMs) * time.Millisecond}
 	for _, s := range w.Services {
 		c.Services = append(c.Services, catalog.Service{Name: s.Name, HealthPath: s.HealthPath,
-			ColdPerSecond: s.ColdPerSecond, ColdStart: time.Duration(s.ColdStartMs) * time.Millisecond})
+			ColdPerSecond: s.ColdPerSecond})
 	}
 	for _, r := range w.Routes {
 		route := catalog.Route{Name: r.Name, Endpoint: steering.Endpoint{Address: r.Address, Port: r.Port}, Idempotent: r.Idempotent}
--- a/internal/adapter/peerudp/codec_test.go
+++ b/internal/adapter/peerudp/codec_test.go
@@ -21,7 +21,7 @@
 	at := netip.MustParseAddrPort("10.1.0.10:8166")
 	self := model.Member{ID: "n1", Zone: "z", Incarnation: 5, Liveness: model.Leaving, PeerAddress: at, Capacity: 200}
 	config := &catalog.Configuration{Version: 9, IdleTimeout: 15 * time.Second,
-		Services: []catalog.Service{{Name: "a", HealthPath: "/h", ColdPerSecond: 2.5, ColdStart: 2 * time.Second}, {Name: "b"}},
+		Services: []catalog.Service{{Name: "a", HealthPath: "/h", ColdPerSecond: 2.5}, {Name: "b"}},
 		Routes: []catalog.Route{{Name: "r", Endpoint: steering.Endpoint{Address: 1, Port: 2}, Idempotent: true,
 			Shares: []catalog.Share{{Service: "a", Weight: 9}, {Service: "b", Weight: 1}}}}}
 	return &peer.Message{Kind: peer.Changes, Call: 7, From: self, Updates: []member.Update{{Member: model.Member{ID: "n2", Liveness: model.Dead}}},
--- a/internal/control/registry/changes.go
+++ b/internal/control/registry/changes.go
@@ -46,10 +46,10 @@
 		return
 	}
 	if entries, leaps, ok := m.peers.log.After(message.After); ok && message.After != 0 {
-		m.sendChanges(message.From, update{message.After, leaps, entries})
+		m.sendChanges(message.From, newUpdate(message.After, leaps, entries))
 		return
 	}
-	m.sendChanges(message.From, update{entries: m.catalog.All()})
+	m.sendChanges(message.From, newUpdate(0, false, m.catalog.All()))
 }
 
 // update leads a belief on from a revision to the own one.
@@ -57,22 +57,27 @@
 	// after is 0 for a complete listing.
 	after uint64
 	// leaps is set if the entries lead on from exactly that revision.
-	leaps   bool
-	entries []catalog.Entry
+	leaps bool
+	// groups are the entries by the messages that bring them.
+	groups [][]catalog.Entry
 }
 
-// sendChanges sends an update. Its entries count together: a listing gives removals
-// a later revision than they had, so a part completes nothing.
-func (m *machine) sendChanges(to model.Member, u update) {
-	groups := peer.Split(u.entries)
+func newUpdate(after uint64, leaps bool, entries []catalog.Entry) *update {
+	groups := peer.Split(entries)
 	if len(groups) == 0 {
 		groups = [][]catalog.Entry{nil} // the revision alone is news
 	}
+	return &update{after, leaps, groups}
+}
+
+// sendChanges sends an update. Its entries count together: a listing gives removals
+// a later revision than they had, so a part completes nothing.
+func (m *machine) sendChanges(to model.Member, u *update) {
 	m.peers.lastCall++
-	for i, group := range groups {
+	for i, group := range u.groups {
 		out := m.message(peer.Changes, to.ID)
 		out.Call, out.After, out.Leaps = m.peers.lastCall, u.after, u.leaps
-		out.Entries, out.Part, out.Parts = group, i, len(groups)
+		out.Entries, out.Part, out.Parts = group, i, len(u.groups)
 		m.send(to.PeerAddress, out)
 	}
 }
@@ -103,7 +108,7 @@
 		// Some entries are applied, so the belief is between two revisions.
 		m.startOver()
 	} else if m.passesOn(message) {
-		m.tell(&update{after, message.Leaps, entries}, false)
+		m.tell(newUpdate(after, message.Leaps, entries), false)
 	}
 }
 
@@ -155,7 +160,7 @@
 	}
 	for _, to := range targets {
 		if u != nil {
-			m.sendChanges(to, *u)
+			m.sendChanges(to, u)
 		} else {
 			m.send(to.PeerAddress, m.message(peer.News, to.ID))
 		}
--- a/internal/control/registry/feed.go
+++ b/internal/control/registry/feed.go
@@ -68,7 +68,7 @@
 	after := f.revision
 	m.advance(e.changes.Entries, e.changes.Revision, false)
 	if news := laterThan(after, e.changes.Entries); len(news) > 0 {
-		m.tell(&update{after, false, news}, true)
+		m.tell(newUpdate(after, false, news), true)
 	}
 }
 
@@ -83,7 +83,7 @@
 		m.peers.log.Reset(whole.Revision)
 	}
 	if m.advance(changes, whole.Revision, after != 0) && after != 0 && len(changes) > 0 {
-		m.tell(&update{after, true, changes}, m.watches())
+		m.tell(newUpdate(after, true, changes), m.watches())
 	}
 }
 
--- a/internal/control/registry/machine.go
+++ b/internal/control/registry/machine.go
@@ -9,7 +9,6 @@
 	"github.com/savorytiller/savorytiller/internal/core/catalog"
 	"github.com/savorytiller/savorytiller/internal/core/member"
 	"github.com/savorytiller/savorytiller/internal/core/model"
-	"github.com/savorytiller/savorytiller/internal/core/placement"
 	"github.com/savorytiller/savorytiller/internal/core/steering"
 )
 
@@ -101,8 +100,8 @@
 	m := &machine{zone: o.Self.Zone, random: random, log: o.Log, catalog: catalog.New(o.Catalog),
 		pace: paceOf(o.ConfigBound)}
 	m.peers = peers{seeds: o.Seeds, table: member.New(o.Self, random), calls: map[uint32]*pendingCall{},
-		heard:  map[model.Zone]model.Time{},
-		placed: placement.NewMembers([]model.Member{o.Self})}
+		heard: map[model.Zone]model.Time{}}
+	m.peers.place([]model.Member{o.Self})
 	m.peers.table.KeepDead(keepDead)
 	return m
 }
--- a/internal/control/registry/peers.go
+++ b/internal/control/registry/peers.go
@@ -55,15 +55,17 @@
 
 // peers is what the machine keeps of other instances.
 type peers struct {
-	seeds    []netip.AddrPort
-	table    *member.Table
-	placed   *placement.Members
-	calls    map[uint32]*pendingCall
-	lastCall uint32
-	started  model.Time
-	tickAt   model.Time
-	seedAt   model.Time
-	pullAt   model.Time
+	seeds  []netip.AddrPort
+	table  *member.Table
+	placed *placement.Members
+	// relay and watcher are the duties of this instance among those in placed.
+	relay, watcher bool
+	calls          map[uint32]*pendingCall
+	lastCall       uint32
+	started        model.Time
+	tickAt         model.Time
+	seedAt         model.Time
+	pullAt         model.Time
 	// answeredAt is when the last question was sent that got an answer in time.
 	answeredAt model.Time
 	// heard is when a message of a zone arrived last.
@@ -82,16 +84,19 @@
 
 // relays reports whether this instance passes news of other zones on in its own:
 // the strongest live one of the zone.
-func (m *machine) relays() bool {
-	relay := m.peers.placed.Strongest(m.zone, dutyKey)
-	return relay == nil || relay.ID == m.peers.table.Self().ID
-}
+func (m *machine) relays() bool { return m.peers.relay }
 
 // watches reports whether this instance watches the registry for the instances
 // that can hear each other: the strongest of the relays.
-func (m *machine) watches() bool {
-	watcher := m.peers.placed.StrongestOfAll(dutyKey)
-	return watcher == nil || watcher.ID == m.peers.table.Self().ID
+func (m *machine) watches() bool { return m.peers.watcher }
+
+// place takes the live instances and derives the duties of this one.
+func (p *peers) place(members []model.Member) {
+	p.placed = placement.NewMembers(members)
+	self := p.table.Self()
+	relay, watcher := p.placed.Strongest(self.Zone, dutyKey), p.placed.StrongestOfAll(dutyKey)
+	p.relay = relay == nil || relay.ID == self.ID
+	p.watcher = watcher == nil || watcher.ID == self.ID
 }
 
 // message returns a message with what every message tells.
@@ -176,11 +181,8 @@
 func (m *machine) membersChanged() {
 	p := &m.peers
 	before := p.placed
-	p.placed = placement.NewMembers(p.table.Members())
+	p.place(p.table.Members())
 	m.changed = true
-	if before == nil {
-		return
-	}
 	for _, now := range p.placed.All() {
 		was, known := before.Get(now.ID)
 		if !known || was.Liveness != now.Liveness {
--- a/internal/core/catalog/types.go
+++ b/internal/core/catalog/types.go
@@ -25,8 +25,6 @@
 	HealthPath string
 	// ColdPerSecond is how many new flows a second a cold server can handle.
 	ColdPerSecond float64
-	// ColdStart is how long a server is cold after its start.
-	ColdStart time.Duration
 }
 
 // Configuration is one version of what operators configure, always whole.
