Count a failed probe only if the process and its link worked meanwhile

Cause: a probe that fails makes the instance reset the repeatable flows of the server. Two cases were open in which the server may live: an instance that knows no other instance took every failure for the server's, and a process that was held up for most of the 300 ms made one attempt only.

--- a/internal/control/registry/feed.go
+++ b/internal/control/registry/feed.go
@@ -216,6 +216,7 @@
 		return
 	}
 	m.reached()
+	m.linkWorked(m.checkSent)
 	switch {
 	case !m.feed.listed:
 	case e.revision <= m.feed.revision:
--- a/internal/control/registry/machine.go
+++ b/internal/control/registry/machine.go
@@ -87,7 +87,10 @@
 	snapshot   *steering.Snapshot
 	registered steering.Snapshot // the parts of the last snapshot from the registry
 	probing    int
-	counts     Counts
+	// linkWorkedAt is when the last call of an instance or of the registry was sent
+	// that got an answer in time.
+	linkWorkedAt model.Time
+	counts       Counts
 }
 
 // Counts are the calls and events since the start.
@@ -157,23 +160,29 @@
 		m.effects = append(m.effects, effProbe{p, m.now})
 	}
 	if len(due) > 0 {
-		// Another instance that answers meanwhile shows that the failure of a
-		// probe is not that of the own link or process.
+		// Another instance or the registry that answers meanwhile shows that the
+		// failure of a probe is not that of the own link or process.
 		if to, ok := m.peers.table.Random(nil); ok {
 			m.probePeer(to)
 		}
 		if near := m.peers.placed.Second(m.zone, uint64(m.now), m.peers.table.Self().ID); near != nil {
 			m.probePeer(*near)
 		}
+		if m.peers.placed.Live() <= 1 {
+			m.checkAt = m.now // no instance can show it, so the registry has to
+		}
 	}
 	if next != 0 && m.probing < maxProbes {
 		m.wake(next)
 	}
 }
 
+// linkWorked notes that something sent at the given time got an answer.
+func (m *machine) linkWorked(sentAt model.Time) { m.linkWorkedAt = max(m.linkWorkedAt, sentAt) }
+
 func (m *machine) probed(e evProbed) {
 	m.probing--
-	if e.reach == catalog.Unreachable && m.peers.placed.Live() > 1 && m.peers.answeredAt.Before(e.sentAt) {
+	if e.reach == catalog.Unreachable && m.linkWorkedAt.Before(e.sentAt) {
 		e.reach = catalog.ReachUnknown
 	}
 	if m.catalog.Probed(e.sentAt, m.now, e.server.ID, e.server.Started, e.reach) {
--- a/internal/control/registry/machine_test.go
+++ b/internal/control/registry/machine_test.go
@@ -347,6 +347,27 @@
 	require.Equal(t, steering.Unreachable, reach())
 }
 
+// Guards against an instance that knows no other, as one that has just started: its
+// failed probes count only if the registry answered meanwhile.
+func TestFailedProbeOfALoneInstanceCountsOnlyIfTheRegistryAnswers(t *testing.T) {
+	f := settled(t, 1, 1)
+	m := f.nodes[0]
+	fail := func() catalog.Reach {
+		f.step(0, evSuspect{"a", 0})
+		sent := f.now
+		f.run(300 * time.Millisecond)
+		f.step(0, evProbed{server: catalog.ServerEntry{ID: "a"}, sentAt: sent, reach: steering.Unreachable})
+		s := &steering.Snapshot{}
+		m.catalog.Fill(f.now, s, m.home)
+		return s.Services["s"].Servers[0].Reach
+	}
+	f.store.down = func(int) bool { return true }
+	require.Equal(t, steering.ReachUnknown, fail())
+	f.store.down = nil
+	f.run(2 * time.Second)
+	require.Equal(t, steering.Unreachable, fail())
+}
+
 // Guards against a leaving instance that keeps the duties of its zone.
 func TestLeavingInstanceHandsItsWatchOver(t *testing.T) {
 	f := settled(t, 4, 1)
--- a/internal/control/registry/peers.go
+++ b/internal/control/registry/peers.go
@@ -66,8 +66,6 @@
 	tickAt         model.Time
 	seedAt         model.Time
 	pullAt         model.Time
-	// answeredAt is when the last question was sent that got an answer in time.
-	answeredAt model.Time
 	// heard is when a message of a zone arrived last.
 	heard      map[model.Zone]model.Time
 	askOtherAt model.Time
@@ -250,7 +248,7 @@
 	}
 	delete(m.peers.calls, id)
 	if reached {
-		m.peers.answeredAt = max(m.peers.answeredAt, c.sentAt)
+		m.linkWorked(c.sentAt)
 	}
 	if c.done != nil {
 		c.done(reached)
