savoryctl why: name the outage of the flow's instance, and take the time of failure

Most fail because their instance lost power or stood still, which it did not look for, and long flows were searched near their opening only.

Change: --at gives the time of the failure; a start without a stop before it, a stop, a pause and the backlog after a start count as causes; what the own instance shows outweighs what others found of the server. Control logs a pause of the process of over 1 s.

--- a/internal/adapter/operatorcli/why.go
+++ b/internal/adapter/operatorcli/why.go
@@ -15,6 +15,8 @@
 type whyCommand struct {
 	Flow string `arg:"" help:"Caller's address and port of the flow (ip:port)."`
 	File string `arg:"" optional:"" help:"Log lines of one or more instances; standard input if left out." type:"existingfile"`
+	// At is given for long flows, whose last line is far before the failure.
+	At time.Time `help:"Time of the failure (RFC 3339); the time of the last line about the flow if left out." placeholder:"TIME"`
 }
 
 // Run reads the log and prints the flow's decisions and its cause.
@@ -32,7 +34,7 @@
 	if err != nil {
 		return err
 	}
-	story := explainFlow(c.Flow, lines)
+	story := explainFlow(c.Flow, c.At, lines)
 	if printErr := r.print(story, story.write); printErr != nil {
 		return printErr
 	}
@@ -100,6 +102,10 @@
 	causeNoServer        = "no server of the service could get a new flow"
 	causeNoConfiguration = "the instance had no configuration yet"
 	causeRegistryLost    = "the instance had lost the registry and may have used an old view"
+	causeInstanceKilled  = "the instance that carried the flow ended without notice and started again"
+	causeInstanceStopped = "the instance that carried the flow was told to stop"
+	causeInstancePaused  = "the process of the instance that carried the flow stood still"
+	causeAfterOutage     = "the instance had just started: callers that had waited came at once, and servers may have been full"
 )
 
 var causeOfReason = map[string]string{
@@ -108,11 +114,14 @@
 	"no_configuration": causeNoConfiguration,
 }
 
-// near is how long after the last line of a flow events of its server and its
-// instance may be the cause: a caller's deadline, and the time that a registry
-// takes to notice a dead server.
+// near is how far from the failure events of the server and the instance may be its
+// cause: a caller's deadline, and the time that a registry takes to notice a dead
+// server.
 const near = 6 * time.Second
 
+// backlog is how long after a start the callers that waited for it fill the servers.
+const backlog = 3 * time.Second
+
 // story is the explanation of a flow.
 type story struct {
 	Flow  string    `json:"flow"`
@@ -120,59 +129,111 @@
 	Lines []logLine `json:"lines"`
 }
 
-// explainFlow collects the lines about a flow and its server, and names the
-// cause: the reason of its last reset or drop, else what befell its server.
-func explainFlow(id string, lines []logLine) *story {
+// suspicion is a flow with what is known of it when its failure is explained.
+type suspicion struct {
+	// server and instance are those of the flow's last line.
+	server, instance string
+	// opened and failedAt bound the time in which the cause lies, with margins.
+	opened, failedAt time.Time
+	// told is set once the instance was told to stop.
+	told bool
+}
+
+// explainFlow collects the lines about a flow, its server and its instance, and
+// names the cause: the reason of its last reset or drop, else what befell its
+// instance, else its server. A zero time at stands for that of the flow's last line.
+func explainFlow(id string, at time.Time, lines []logLine) *story {
 	s := &story{Flow: id, Cause: causeUnknown}
 	var last *logLine
+	f := suspicion{failedAt: at}
 	for i := range lines {
-		if lines[i].Caller == id {
-			s.Lines = append(s.Lines, lines[i])
-			last = &lines[i]
+		l := &lines[i]
+		if l.Caller != id || !at.IsZero() && l.At.After(at.Add(near)) {
+			continue
+		}
+		s.Lines = append(s.Lines, *l)
+		last, f.instance = l, l.Source
+		if l.Server != "" {
+			f.server = l.Server
 		}
 	}
 	if last == nil {
 		return s
 	}
-	server := ""
-	for i := range s.Lines {
-		if s.Lines[i].Server != "" {
-			server = s.Lines[i].Server
-		}
+	if f.opened = s.Lines[0].At; at.IsZero() {
+		f.failedAt = last.At
 	}
 	s.Cause = causeServed
 	if cause, ok := causeOfReason[last.Reason]; ok {
 		s.Cause = cause
 	}
+	weight := 0
 	for i := range lines {
 		l := &lines[i]
-		if l.Caller != "" || l.At.Before(s.Lines[0].At.Add(-near)) || l.At.After(last.At.Add(near)) {
+		planned := f.planned(l)
+		if l.Caller != "" || l.At.Before(f.opened.Add(-near)) || l.At.Before(f.failedAt.Add(-near)) || l.At.After(f.failedAt.Add(near)) {
 			continue
 		}
-		cause := causeAround(l, server, last)
+		cause, w := f.cause(l, planned)
 		if cause == "" {
 			continue
 		}
 		s.Lines = append(s.Lines, *l)
-		if s.Cause == causeServed {
-			s.Cause = cause
+		if w > weight && (s.Cause == causeServed || weight > 0) {
+			s.Cause, weight = cause, w
 		}
 	}
 	return s
 }
 
-// causeAround returns what a line that is not about the flow says of it, or "".
-func causeAround(l *logLine, server string, flow *logLine) string {
-	sameInstance := l.Source == flow.Source
+// Weights of evidence: that of the flow's own instance outweighs what other instances
+// found of its server, because they may be cut off themselves.
+const (
+	weakEvidence = iota + 1
+	serverEvidence
+	instanceEvidence
+)
+
+// Messages of an instance that begin and end its time.
+const (
+	messageStarted = "instance: started"
+	messageTold    = "instance: told to stop, serving until traffic has moved"
+)
+
+// planned follows the stops of the flow's instance and reports whether a line is a
+// start after one. Lines come in order of time.
+func (f *suspicion) planned(l *logLine) bool {
+	if l.Source != f.instance || l.Message != messageStarted && l.Message != messageTold {
+		return false
+	}
+	before := f.told
+	f.told = l.Message == messageTold
+	return before && !f.told
+}
+
+// cause returns what a line that is not about the flow says of it and how much that
+// weighs, or "". planned is set for the start after a planned stop.
+func (f *suspicion) cause(l *logLine, planned bool) (cause string, weight int) {
+	own := l.Source == f.instance
 	switch {
-	case server != "" && l.Server == server && (l.Reach == "unreachable" || l.Reach == "ended"):
-		return causeServerSilent
-	case server != "" && l.Message == "registry: server removed" && strings.HasSuffix(l.Key, "/"+server):
-		return causeServerLeft
-	case sameInstance && l.Message == "registry: registry lost":
-		return causeRegistryLost
+	case planned:
+		return "", 0
+	case own && l.Message == messageTold:
+		return causeInstanceStopped, weakEvidence // it serves on until its traffic has moved
+	case own && l.Message == messageStarted && l.At.After(f.opened):
+		return causeInstanceKilled, instanceEvidence
+	case own && l.Message == messageStarted && f.failedAt.Sub(l.At) < backlog:
+		return causeAfterOutage, weakEvidence
+	case own && l.Message == "registry: the process stood still":
+		return causeInstancePaused, instanceEvidence
+	case f.server != "" && l.Server == f.server && (l.Reach == "unreachable" || l.Reach == "ended"):
+		return causeServerSilent, serverEvidence
+	case f.server != "" && l.Message == "registry: server removed" && strings.HasSuffix(l.Key, "/"+f.server):
+		return causeServerLeft, serverEvidence
+	case own && l.Message == "registry: registry lost":
+		return causeRegistryLost, weakEvidence
 	default:
-		return ""
+		return "", 0
 	}
 }
 
--- a/internal/adapter/operatorcli/why_test.go
+++ b/internal/adapter/operatorcli/why_test.go
@@ -57,6 +57,37 @@
 	require.Equal(t, "n3", s.Lines[2].Source)
 }
 
+// Lines of two instances: n4 is killed while a long flow is open and starts again, n5
+// is paused, then told to stop, and n6 was cut off and found a server silent that
+// served others.
+const outageLog = `
+  1.0 n4 {"level":"info","ts":"2026-06-19T00:40:01.000Z","msg":"flow: flow placed","caller":"100.64.0.1:1001","route":"198.18.0.1:80","reason":"least_load","copy":0,"server":"i-a","zone":"z","load":0}
+  1.1 n5 {"level":"info","ts":"2026-06-19T00:40:01.100Z","msg":"flow: flow placed","caller":"100.64.0.2:1002","route":"198.18.0.1:80","reason":"least_load","copy":0,"server":"i-b","zone":"z","load":0}
+  19.5 n6 {"level":"info","ts":"2026-06-19T00:40:19.500Z","msg":"registry: server probed","server":"i-a","zone":"z","reach":"unreachable","after_ms":300}
+  21.0 n4 {"level":"info","ts":"2026-06-19T00:40:21.000Z","msg":"instance: started","id":"n4"}
+  21.2 n4 {"level":"info","ts":"2026-06-19T00:40:21.200Z","msg":"flow: flow placed","caller":"100.64.0.3:1003","route":"198.18.0.1:80","reason":"least_load","copy":0,"server":"i-b","zone":"z","load":2}
+  30.0 n5 {"level":"info","ts":"2026-06-19T00:40:30.000Z","msg":"registry: the process stood still","for_ms":4000}
+  40.0 n5 {"level":"info","ts":"2026-06-19T00:40:40.000Z","msg":"instance: told to stop, serving until traffic has moved"}
+  43.0 n5 {"level":"info","ts":"2026-06-19T00:40:43.000Z","msg":"instance: started","id":"n5"}
+`
+
+// Guards against a failure that is put down to the server although the instance was
+// away, and against the search near the opening of a long flow only.
+func TestWhyNamesTheOutageOfAnInstance(t *testing.T) {
+	log := file(t, outageLog)
+	for _, c := range []struct{ flow, at, want string }{
+		{"100.64.0.1:1001", "2026-06-19T00:40:19Z", causeInstanceKilled},
+		{"100.64.0.1:1001", "2026-06-19T00:40:10Z", causeServed},
+		{"100.64.0.2:1002", "2026-06-19T00:40:28Z", causeInstancePaused},
+		{"100.64.0.2:1002", "2026-06-19T00:40:41Z", causeInstanceStopped},
+		{"100.64.0.3:1003", "2026-06-19T00:40:21.5Z", causeAfterOutage},
+	} {
+		code, out, errOut := runCommand(t, "why", c.flow, log, "--at", c.at)
+		require.Equal(t, ExitOK, code, errOut)
+		require.True(t, strings.HasPrefix(out, "flow "+c.flow+": "+c.want+"\n"), "%s at %s: %s", c.flow, c.at, out)
+	}
+}
+
 type snapshotReader struct{ s *steering.Snapshot }
 
 func (r snapshotReader) Snapshot() *steering.Snapshot { return r.s }
--- a/internal/control/registry/machine.go
+++ b/internal/control/registry/machine.go
@@ -37,6 +37,9 @@
 	maxProbes = 8
 	// publishEvery bounds the age of what a snapshot says of the contact.
 	publishEvery = 500 * time.Millisecond
+	// stillAfter is the time without a wake-up after which the process has stood
+	// still: it wakes at least every publishEvery, and timers fire slightly late.
+	stillAfter = 2 * publishEvery
 )
 
 // pace holds the times that follow from the bound within which a configuration
@@ -111,6 +114,9 @@
 
 // handle takes an event; nil stands for the timer.
 func (m *machine) handle(now model.Time, e event) {
+	if gap := now.Sub(m.now); m.now != 0 && gap > stillAfter {
+		m.log.Info("the process stood still", "for_ms", gap.Milliseconds())
+	}
 	m.now = now
 	switch e := e.(type) {
 	case evChanges:
--- a/internal/control/registry/machine_test.go
+++ b/internal/control/registry/machine_test.go
@@ -4,9 +4,12 @@
 	"context"
 	"fmt"
 	"net/netip"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/go-logr/logr/funcr"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
@@ -447,3 +450,17 @@
 	c.Leave() // does not block after the end
 	require.Nil(t, c.Snapshot())
 }
+
+// Guards against a pause of the process that its log doesn't show: requests fail in it
+// and nothing else tells why.
+func TestPauseOfTheProcessIsLogged(t *testing.T) {
+	f := settled(t, 2, 1)
+	var lines []string
+	f.nodes[0].log = funcr.New(func(_, args string) { lines = append(lines, args) }, funcr.Options{})
+	f.run(5 * time.Second)
+	require.NotContains(t, strings.Join(lines, "\n"), "stood still")
+	f.queue = slices.DeleteFunc(f.queue, func(d delivery) bool { return d.node == 0 })
+	f.now = f.now.Add(4 * time.Second)
+	f.step(0, nil)
+	require.Contains(t, strings.Join(lines, "\n"), "stood still")
+}
