Keep the flows of servers that live but have lost their entry

Also, a probe that met a closed port while the entry was missing marked the run as ended for good: after a partition that answers with resets the server got no flows from that instance any more, although it was listed again.

Change: a missing entry ends new flows as before; open ones are reset only once a probe shows that the server is away, or if it had announced its end. A packet of a flow of such a server asks for the probe. An entry of the same run clears the mark.

Tests: three that fail before (two of catalog, one of them replaced: it demanded the reset without evidence; it now demands it after a failed probe, and none before).

--- a/internal/adapter/steerstatus/status.go
+++ b/internal/adapter/steerstatus/status.go
@@ -110,6 +110,8 @@
 		return "departed"
 	case s.Reach == steering.Unreachable:
 		return "unreachable"
+	case s.Unlisted:
+		return "unlisted"
 	case s.State == model.ServerDraining:
 		return "draining"
 	case s.ColdUntil != 0:
--- a/internal/core/catalog/catalog.go
+++ b/internal/core/catalog/catalog.go
@@ -160,8 +160,8 @@
 		s = &server{}
 		c.servers[r] = s
 	}
-	if s.entry.Address != e.Address {
-		s.reach, s.reachAt = ReachUnknown, 0
+	if s.entry.Address != e.Address || s.reach == Ended {
+		s.reach, s.reachAt = ReachUnknown, 0 // an entry of the same run outweighs a closed port
 	}
 	s.entry, s.unlisted = *e, 0
 	s.coldUntil = 0
--- a/internal/core/catalog/catalog_test.go
+++ b/internal/core/catalog/catalog_test.go
@@ -111,9 +111,49 @@
 	require.Empty(t, departed(c, 21*second))
 	c.put(21*second, 31, serverEntry("a", 1, nil))
 	require.Equal(t, []string{"a"}, eligible(c, 23*second))
+	require.Empty(t, departed(c, 23*second), "it may live and be cut off from the registry")
+	c.Probed(23*second, 23*second, "b", 1, Unreachable)
 	require.Equal(t, []string{"b/1"}, departed(c, 23*second))
 }
 
+// Guards against resets of the flows of a server that lives but is cut off from the
+// registry, seen in a day with one_way (mandi-lb, mix 7018): its entry expires, and
+// new flows must not go there, but those that are open work.
+func TestFlowsOfALiveServerWithoutEntryGoOn(t *testing.T) {
+	c := newCatalog()
+	c.put(1, 10, serverEntry("a", 1, nil))
+	c.put(1, 11, serverEntry("leaving", 1, func(e *ServerEntry) { e.State = model.ServerDraining }))
+	c.Apply(2*second, &Entry{Key: "servers/a", Revision: 12, Removed: true})
+	c.Apply(2*second, &Entry{Key: "servers/leaving", Revision: 13, Removed: true})
+	require.Empty(t, eligible(c, 5*second))
+	require.Equal(t, []string{"leaving/1"}, departed(c, 5*second), "a server that drained has left")
+	unlisted := func(now model.Time) bool {
+		return slices.ContainsFunc(fill(c, now).Servers.All(), func(s *steering.Server) bool { return s.ID == "a" && s.Unlisted })
+	}
+	require.False(t, unlisted(3*second), "the entry may return")
+	require.True(t, unlisted(5*second))
+	c.Probed(5*second, 5*second, "a", 1, Reachable)
+	require.Empty(t, eligible(c, 6*second))
+	require.Equal(t, []string{"leaving/1"}, departed(c, 6*second))
+	require.True(t, unlisted(6*second))
+	c.Probed(7*second, 7*second, "a", 1, Ended)
+	require.Equal(t, []string{"a/1", "leaving/1"}, departed(c, 7*second))
+}
+
+// Guards against a server that gets no flows for good after a partition that answered
+// connections with resets: a probe had taken its missing entry and the closed port
+// for its end.
+func TestServerThatIsListedAgainTakesFlows(t *testing.T) {
+	c := newCatalog()
+	c.put(1, 10, serverEntry("a", 1, nil))
+	c.Apply(2*second, &Entry{Key: "servers/a", Revision: 12, Removed: true})
+	c.Probed(3*second, 3*second, "a", 1, Ended)
+	require.Empty(t, eligible(c, 3*second))
+	c.put(4*second, 13, serverEntry("a", 1, nil))
+	require.Equal(t, []string{"a"}, eligible(c, 4*second))
+	require.Empty(t, departed(c, 4*second))
+}
+
 // Guards against a server that counts as gone because the registry went away
 // again before its entry could return.
 func TestNothingIsGoneWhileTheRegistryIsAway(t *testing.T) {
--- a/internal/core/catalog/snapshot.go
+++ b/internal/core/catalog/snapshot.go
@@ -83,7 +83,8 @@
 		out.ColdUntil = 0
 	}
 	if s.unlisted != 0 {
-		out.Departed = b.gone(s)
+		out.Departed = b.departed(s)
+		out.Unlisted = !out.Departed && b.gone(s)
 	}
 	return out
 }
@@ -94,7 +95,15 @@
 	return s.entry.State == model.ServerActive && !b.catalog.withdrawn[s.entry.Zone] && !b.gone(s)
 }
 
-// gone reports whether a server has certainly ended.
+// departed reports whether a server that is not listed has ended. A missing entry alone
+// does not show it: servers that are cut off from the registry go on serving. One
+// that had announced its end has left.
+func (b *builder) departed(s *server) bool {
+	return s.replaced || s.reach == Ended ||
+		b.gone(s) && (s.entry.State == model.ServerDraining || s.reach == Unreachable)
+}
+
+// gone reports whether a server has ended as far as new flows go.
 func (b *builder) gone(s *server) bool {
 	if s.replaced || s.reach == Ended {
 		return true
--- a/internal/core/steering/standing.go
+++ b/internal/core/steering/standing.go
@@ -15,6 +15,9 @@
 	// flow to try. The first is longer than the loss of a burst of packets.
 	minRetry = 500 * time.Millisecond
 	maxRetry = 4 * time.Second
+	// confirmEvery is the time between two requests for a probe of an unlisted server,
+	// whose probe may have no clear result.
+	confirmEvery = 500 * time.Millisecond
 )
 
 // target is what this instance observed of a server. Answers bypass the
@@ -32,6 +35,8 @@
 	backoff time.Duration
 	// report asks for a probe of the server.
 	report bool
+	// confirmAt is when an unlisted server may be asked for again.
+	confirmAt model.Time
 	// opens are the flows opened in the second from window while the server was cold.
 	opens  int
 	window model.Time
--- a/internal/core/steering/steerer.go
+++ b/internal/core/steering/steerer.go
@@ -117,6 +117,15 @@
 	}
 }
 
+// confirm asks for a probe of a server of which nothing shows whether it lives.
+func (s *Steerer) confirm(t *target, now model.Time) {
+	if now.Before(t.confirmAt) || t.report {
+		return
+	}
+	t.confirmAt, t.report = now.Add(confirmEvery), true
+	s.suspects = append(s.suspects, t)
+}
+
 // targetOf returns what is known of a server of the snapshot.
 func (s *Steerer) targetOf(server *Server) *target {
 	t := s.targets[server.Token]
@@ -208,6 +217,9 @@
 	if t.unreachable() && route != nil && route.Idempotent && s.alternative(t) {
 		return s.end(p, f, t, model.ReasonServerFailed)
 	}
+	if t.server.Unlisted && t.server.Reach == ReachUnknown {
+		s.confirm(t, now)
+	}
 	if f != nil && f.target != t {
 		// The caller's token is that of the server that answered it.
 		s.uncount(f)
--- a/internal/core/steering/steering_test.go
+++ b/internal/core/steering/steering_test.go
@@ -264,6 +264,25 @@
 	require.Equal(t, model.ReasonServerRemoved, v.Reason)
 }
 
+// Guards against an unlisted server that nobody asks for: its flows go on, and would
+// wait for their deadline if it has ended.
+func TestPacketsOfUnlistedServersAskForAProbe(t *testing.T) {
+	r := newRig(t)
+	b := r.open(2, routeB)
+	list := servers("b", "z", 2)
+	for _, s := range list {
+		s.Unlisted = s.ID == b.ID
+	}
+	r.use(servers("a", "z", 3), list)
+	require.Equal(t, Deliver, r.data(2, routeB, b.Token, 300, 700).Verb)
+	require.Equal(t, b.ID, r.steerer.TakeSuspect().ID)
+	require.Equal(t, Deliver, r.data(2, routeB, b.Token, 300, 1700).Verb)
+	require.Nil(t, r.steerer.TakeSuspect(), "one request at a time")
+	r.now += second
+	require.Equal(t, Deliver, r.data(2, routeB, b.Token, 300, 2700).Verb)
+	require.Equal(t, b.ID, r.steerer.TakeSuspect().ID, "the probe may have had no clear result")
+}
+
 // Guards against a reset for a token that another instance knows already.
 func TestUnknownTokensAreDropped(t *testing.T) {
 	r := newRig(t)
--- a/internal/core/steering/types.go
+++ b/internal/core/steering/types.go
@@ -92,6 +92,10 @@
 	// Departed is set once it is certain that the server has ended. Its flows
 	// are reset, so that callers learn it at once.
 	Departed bool
+	// Unlisted is set if the registry has not listed the server for longer than its
+	// entry may take to return, and nothing shows that the server has ended. It gets no
+	// new flows; those that are open go on.
+	Unlisted bool
 	// Reach is the result of the last probe, which was sent at ReachAt.
 	Reach   Reach
 	ReachAt model.Time
