--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
-# Runs both deployments of design section 1 on loopback, each with 7 entry
-# instances in several availability zones. While feeds are open, a release note
+# Runs both deployments of design section 1 on loopback at the same time, each with 7
+# entry instances in several availability zones. While feeds are open, a release note
 # adds a server, drains one and withdraws one, and an entry instance is replaced;
 # in the second one an availability zone is taken out of service and returns.
 # The exit status is 0 only if no promise was broken.
@@ -63,12 +63,8 @@
   finish_load
 }
 
-failed=0
-run_isolated run_factory
-[ "$status" = 0 ] || failed=1
-run_isolated run_market
-[ "$status" = 0 ] || failed=1
-if [ "$failed" != 0 ]; then
+run_together run_factory run_market
+if [ "$status" != 0 ]; then
   echo "demo: FAILED, logs are in $root" >&2
   exit 1
 fi
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -42,6 +42,27 @@
   trap - INT TERM
 }
 
+# run_together FUNCTION... runs functions at the same time like run_isolated, with their
+# names before their output, and sets `status` to 1 if one failed.
+run_together() {
+  local children=() function child
+  for function in "$@"; do
+    (
+      set -e
+      trap end_all EXIT
+      trap 'exit 143' TERM
+      "$function"
+    ) > >(sed -u "s/^/${function#run_}: /") 2>&1 &
+    children+=($!)
+  done
+  trap 'kill -TERM "${children[@]}"; wait; exit 143' INT TERM
+  status=0
+  for child in "${children[@]}"; do
+    wait "$child" || status=1
+  done
+  trap - INT TERM
+}
+
 fail() {
   echo "$*" >&2
   exit 1
