--- a/internal/adapter/operatorcli/why.go
+++ b/internal/adapter/operatorcli/why.go
@@ -55,6 +55,8 @@
 	Key      string    `json:"key,omitempty"`
 	Reach    string    `json:"reach,omitempty"`
 	State    string    `json:"state,omitempty"`
+	Started  int64     `json:"started,omitempty"`
+	CutOff   bool      `json:"cut_off,omitempty"`
 	Version  uint64    `json:"version,omitempty"`
 	Revision uint64    `json:"revision,omitempty"`
 	// Source is the last word before the JSON of a line: where logs are collected,
@@ -95,6 +97,8 @@
 	causeServerFailed    = "the server could not be reached; the flow was reset so that the caller can repeat"
 	causeServerRemoved   = "the server ended or left the registry; its flows were reset"
 	causeServerSilent    = "the server did not answer a probe while the flow was open"
+	causeServerEnded     = "the server had ended: its port was closed, or another server had its address"
+	causeServerRestarted = "the server ended and started again"
 	causeServerLeft      = "the server's entry was removed while the flow was open"
 	causeNoRoute         = "the configuration in force has no route to this address"
 	causeRouteRemoved    = "a configuration removed the route of the flow"
@@ -104,6 +108,7 @@
 	causeRegistryLost    = "the instance had lost the registry and may have used an old view"
 	causeInstanceKilled  = "the instance that carried the flow ended without notice and started again"
 	causeInstanceStopped = "the instance that carried the flow was told to stop"
+	causeZoneCut         = "the zone of the instance was cut off from the others"
 	causeInstancePaused  = "the process of the instance that carried the flow stood still"
 	causeAfterOutage     = "the instance had just started: callers that had waited came at once, and servers may have been full"
 )
@@ -135,8 +140,10 @@
 	server, instance string
 	// opened and failedAt bound the time in which the cause lies, with margins.
 	opened, failedAt time.Time
-	// told is set once the instance was told to stop.
+	// told is set once the instance was told to stop; run is the server's run that was
+	// listed last.
 	told bool
+	run  int64
 }
 
 // explainFlow collects the lines about a flow, its server and its instance, and
@@ -170,11 +177,11 @@
 	weight := 0
 	for i := range lines {
 		l := &lines[i]
-		planned := f.planned(l)
+		event := f.follow(l)
 		if l.Caller != "" || l.At.Before(f.opened.Add(-near)) || l.At.Before(f.failedAt.Add(-near)) || l.At.After(f.failedAt.Add(near)) {
 			continue
 		}
-		cause, w := f.cause(l, planned)
+		cause, w := f.cause(l, event)
 		if cause == "" {
 			continue
 		}
@@ -200,24 +207,48 @@
 	messageTold    = "instance: told to stop, serving until traffic has moved"
 )
 
-// planned follows the stops of the flow's instance and reports whether a line is a
-// start after one. Lines come in order of time.
-func (f *suspicion) planned(l *logLine) bool {
-	if l.Source != f.instance || l.Message != messageStarted && l.Message != messageTold {
-		return false
+// event is what a line means together with the lines before it.
+type event uint8
+
+const (
+	eventNone event = iota
+	// eventPlannedStart is a start after a planned stop.
+	eventPlannedStart
+	// eventNewRun is the entry of another run of the flow's server.
+	eventNewRun
+)
+
+// follow keeps the state of the flow's instance and server. Lines come in order of
+// time.
+func (f *suspicion) follow(l *logLine) event {
+	switch {
+	case l.Source == f.instance && l.Message == messageTold:
+		f.told = true
+	case l.Source == f.instance && l.Message == messageStarted:
+		told := f.told
+		f.told = false
+		if told {
+			return eventPlannedStart
+		}
+	case f.server != "" && l.Server == f.server && l.Started != 0:
+		before := f.run
+		f.run = l.Started
+		if before != 0 && before != l.Started {
+			return eventNewRun
+		}
 	}
-	before := f.told
-	f.told = l.Message == messageTold
-	return before && !f.told
+	return eventNone
 }
 
 // cause returns what a line that is not about the flow says of it and how much that
-// weighs, or "". planned is set for the start after a planned stop.
-func (f *suspicion) cause(l *logLine, planned bool) (cause string, weight int) {
+// weighs, or "".
+func (f *suspicion) cause(l *logLine, e event) (cause string, weight int) {
 	own := l.Source == f.instance
 	switch {
-	case planned:
+	case e == eventPlannedStart:
 		return "", 0
+	case e == eventNewRun && l.At.After(f.opened):
+		return causeServerRestarted, serverEvidence
 	case own && l.Message == messageTold:
 		return causeInstanceStopped, weakEvidence // it serves on until its traffic has moved
 	case own && l.Message == messageStarted && l.At.After(f.opened):
@@ -226,7 +257,11 @@
 		return causeAfterOutage, weakEvidence
 	case own && l.Message == "registry: the process stood still":
 		return causeInstancePaused, instanceEvidence
-	case f.server != "" && l.Server == f.server && (l.Reach == "unreachable" || l.Reach == "ended"):
+	case own && l.Message == "registry: zone cut off" && l.CutOff:
+		return causeZoneCut, instanceEvidence
+	case f.server != "" && l.Server == f.server && l.Reach == "ended":
+		return causeServerEnded, serverEvidence
+	case f.server != "" && l.Server == f.server && l.Reach == "unreachable":
 		return causeServerSilent, serverEvidence
 	case f.server != "" && l.Message == "registry: server removed" && strings.HasSuffix(l.Key, "/"+f.server):
 		return causeServerLeft, serverEvidence
--- a/internal/adapter/operatorcli/why_test.go
+++ b/internal/adapter/operatorcli/why_test.go
@@ -67,6 +67,13 @@
   21.0 n4 {"level":"info","ts":"2026-06-19T00:40:21.000Z","msg":"instance: started","id":"n4"}
   21.2 n4 {"level":"info","ts":"2026-06-19T00:40:21.200Z","msg":"flow: flow placed","caller":"100.64.0.3:1003","route":"198.18.0.1:80","reason":"least_load","copy":0,"server":"i-b","zone":"z","load":2}
   30.0 n5 {"level":"info","ts":"2026-06-19T00:40:30.000Z","msg":"registry: the process stood still","for_ms":4000}
+  31.0 n6 {"level":"info","ts":"2026-06-19T00:40:31.000Z","msg":"registry: server listed","server":"i-c","service":"s","zone":"z","state":"active","started":7,"revision":8}
+  31.1 n6 {"level":"info","ts":"2026-06-19T00:40:31.100Z","msg":"flow: flow placed","caller":"100.64.0.4:1004","route":"198.18.0.1:80","reason":"least_load","copy":0,"server":"i-c","zone":"z","load":0}
+  31.2 n6 {"level":"info","ts":"2026-06-19T00:40:31.200Z","msg":"flow: flow placed","caller":"100.64.0.5:1005","route":"198.18.0.1:80","reason":"least_load","copy":0,"server":"i-d","zone":"z","load":0}
+  32.0 n6 {"level":"info","ts":"2026-06-19T00:40:32.000Z","msg":"registry: server listed","server":"i-c","service":"s","zone":"z","state":"active","started":8,"revision":9}
+  32.1 n5 {"level":"info","ts":"2026-06-19T00:40:32.100Z","msg":"registry: server probed","server":"i-d","zone":"z","reach":"ended","after_ms":3}
+  38.0 n6 {"level":"info","ts":"2026-06-19T00:40:38.000Z","msg":"flow: flow placed","caller":"100.64.0.6:1006","route":"198.18.0.1:80","reason":"least_load","copy":0,"server":"i-e","zone":"z","load":0}
+  39.0 n6 {"level":"info","ts":"2026-06-19T00:40:39.000Z","msg":"registry: zone cut off","cut_off":true,"heard":true,"heard_ms_ago":1300}
   40.0 n5 {"level":"info","ts":"2026-06-19T00:40:40.000Z","msg":"instance: told to stop, serving until traffic has moved"}
   43.0 n5 {"level":"info","ts":"2026-06-19T00:40:43.000Z","msg":"instance: started","id":"n5"}
 `
@@ -80,6 +87,9 @@
 		{"100.64.0.1:1001", "2026-06-19T00:40:10Z", causeServed},
 		{"100.64.0.2:1002", "2026-06-19T00:40:28Z", causeInstancePaused},
 		{"100.64.0.2:1002", "2026-06-19T00:40:41Z", causeInstanceStopped},
+		{"100.64.0.4:1004", "2026-06-19T00:40:32Z", causeServerRestarted},
+		{"100.64.0.5:1005", "2026-06-19T00:40:32Z", causeServerEnded},
+		{"100.64.0.6:1006", "2026-06-19T00:40:39Z", causeZoneCut},
 		{"100.64.0.3:1003", "2026-06-19T00:40:21.5Z", causeAfterOutage},
 	} {
 		code, out, errOut := runCommand(t, "why", c.flow, log, "--at", c.at)
