--- a/internal/traffic/packets/worker.go
+++ b/internal/traffic/packets/worker.go
@@ -88,7 +88,8 @@
 	}
 	now := o.Clock.Now()
 	w.last.Store(int64(now))
-	v := o.Steerer.Packet(o.Snapshots.Snapshot(), now, p)
+	snapshot := o.Snapshots.Snapshot()
+	v := o.Steerer.Packet(snapshot, now, p)
 	o.Recorder.Count(part, v.Reason)
 	switch v.Verb {
 	case steering.Deliver:
@@ -103,7 +104,7 @@
 	for suspect := o.Steerer.TakeSuspect(); suspect != nil; suspect = o.Steerer.TakeSuspect() {
 		o.Suspects.Suspect(suspect)
 	}
-	w.log(&v)
+	w.log(&v, snapshot, now)
 }
 
 // observe records the durations that a packet ends.
@@ -125,18 +126,22 @@
 	}
 }
 
-// log writes a line for each decision that begins, moves or ends a flow.
-func (w *Worker) log(v *steering.Verdict) {
+// log writes a line for each decision that begins, moves or ends a flow, with the
+// version of the configuration and the age of the view that it was made on.
+func (w *Worker) log(v *steering.Verdict, snapshot *steering.Snapshot, now model.Time) {
 	if v.Verb == steering.Deliver && !v.Opened {
 		return
 	}
 	p := &w.packet
-	values := make([]any, 0, 16)
+	values := make([]any, 0, 20)
 	values = append(values, "caller", p.Key.Caller.AddrPort().String(), "route", p.Key.Route.AddrPort().String(),
 		"reason", v.Reason.String(), "copy", p.Copy)
 	if v.Server != nil {
 		values = append(values, "server", v.Server.ID, "zone", v.Server.Zone)
 	}
+	if snapshot != nil {
+		values = append(values, "version", snapshot.Version, "view_ms", now.Sub(snapshot.ConfirmedAt).Milliseconds())
+	}
 	switch {
 	case v.Opened:
 		w.options.Log.Info("flow placed", append(values, "load", v.Load)...)
