Notice a cut zone by a silent server, and probe the servers of silent zones at once

Its instances noticed it 0.8 to 1.2 s later, by missing messages, and stayed in rotation for that time; each flow of other instances to servers behind the cut found out by its own silence.

Ruled out: the resets themselves (a flow is reset at its next packet once its server is known to be unreachable); earlier resets on silence of a zone alone, because its instances may be dead while its servers live.

Change: a suspected server of another zone makes the instance ask that zone and others three times within 350 ms; without an answer from any the own zone is cut off, without one from that zone its servers with open flows are probed. Up to 32 probes at a time.

--- a/internal/control/registry/machine.go
+++ b/internal/control/registry/machine.go
@@ -36,8 +36,9 @@
 	lostAfter = 2
 	// probeLimit bounds a probe: many round trips between zones.
 	probeLimit = 300 * time.Millisecond
-	// maxProbes bounds the probes that run at a time.
-	maxProbes = 8
+	// maxProbes bounds the probes that run at a time: those of the servers of a zone
+	// that is cut off, which all take probeLimit.
+	maxProbes = 32
 	// publishEvery bounds the age of what a snapshot says of the contact.
 	publishEvery = 500 * time.Millisecond
 	// stillAfter is the time without a wake-up after which the process has stood
@@ -114,7 +115,7 @@
 	random := rand.New(rand.NewPCG(o.Seed, o.Seed^0x9e3779b97f4a7c15))
 	m := &machine{zone: o.Self.Zone, random: random, log: o.Log, catalog: catalog.New(o.Catalog),
 		pace: paceOf(o.ConfigBound)}
-	m.peers = peers{seeds: o.Seeds, table: member.New(o.Self, random), calls: map[uint32]*pendingCall{}, partials: map[model.InstanceID]*partial{},
+	m.peers = peers{seeds: o.Seeds, table: member.New(o.Self, random), calls: map[uint32]*pendingCall{}, partials: map[model.InstanceID]*partial{}, silent: map[model.Zone]model.Time{},
 		heard: map[model.Zone]model.Time{}}
 	m.peers.place([]model.Member{o.Self})
 	m.peers.table.KeepDead(keepDead)
@@ -171,6 +172,7 @@
 func (m *machine) probe() {
 	due, next := m.catalog.DueProbes(m.now, maxProbes-m.probing, m.heardZone)
 	for _, p := range due {
+		m.doubt(p.Server.Zone)
 		m.probing++
 		m.counts.Probes++
 		m.effects = append(m.effects, effProbe{p, m.now})
@@ -233,7 +235,7 @@
 	m.sequence++
 	s := m.registered
 	s.Sequence, s.ConfirmedAt, s.CutOff = m.sequence, m.confirmed, m.peers.cut
-	s.FreshFor = m.pace.stale
+	s.FreshFor, s.Silent = m.pace.stale, m.silence()
 	m.snapshot = &s
 }
 
--- a/internal/control/registry/peers.go
+++ b/internal/control/registry/peers.go
@@ -83,9 +83,16 @@
 	askOtherAt model.Time
 	// toldCut is when another instance of the zone last said that it is cut off.
 	toldCut model.Time
-	// cut is whether this zone counts as cut off.
-	cut bool
-	log peer.Log
+	// cut is whether this zone counts as cut off, and cutAt when that changed.
+	cut   bool
+	cutAt model.Time
+	// doubtAt is since when other zones are asked because a server of doubtZone does not
+	// answer; 0 if they are not. doubtedAt is when that was last begun.
+	doubtAt, doubtedAt model.Time
+	doubtZone          model.Zone
+	// silent is since when zones do not answer.
+	silent map[model.Zone]model.Time
+	log    peer.Log
 	// partials are the changes of which some parts are missing, by their senders.
 	partials map[model.InstanceID]*partial
 }
--- a/internal/control/registry/zones_test.go
+++ b/internal/control/registry/zones_test.go
@@ -8,6 +8,45 @@
 	"github.com/stretchr/testify/require"
 )
 
+// Guards against a zone that is lost alone and noticed by each of its servers' silence
+// only, and against a cut seen where a third zone can be reached.
+func TestZoneThatDoesNotAnswerIsTold(t *testing.T) {
+	f := settled(t, 30, 3)
+	f.cut = func(from, to int) bool { return from%3 == 1 && to%3 == 0 || from%3 == 0 && to%3 == 1 }
+	for range 4 {
+		f.step(1, evSuspect{"a", 0})
+		f.run(110 * time.Millisecond)
+	}
+	f.run(publishEvery)
+	require.NotZero(t, f.snapshot[1].Silent["z0"])
+	require.False(t, f.snapshot[1].CutOff)
+	f.cut = nil
+	f.run(3 * time.Second)
+	require.Zero(t, f.snapshot[1].Silent["z0"])
+}
+
+// Guards against a zone that goes on taking flows for servers it cannot reach until it
+// misses the others' messages: a suspected server of another zone tells it earlier.
+func TestSuspectedServerShowsACutZoneEarlier(t *testing.T) {
+	for _, cut := range []bool{true, false} {
+		f := settled(t, 30, 3)
+		f.loss = 0.01
+		if cut {
+			f.cut = func(from, to int) bool { return from%3 != to%3 && (from%3 == 1 || to%3 == 1) }
+		}
+		f.messages = 0
+		for range 4 {
+			f.step(1, evSuspect{"a", 0})
+			f.run(100 * time.Millisecond)
+		}
+		require.Equal(t, cut, f.nodes[1].peers.cut, "a is in another zone")
+		require.Less(t, f.messages, 30*16, "questions stay few")
+		f.cut = nil
+		f.run(500 * time.Millisecond)
+		require.False(t, f.nodes[1].peers.cut, "any message of another zone ends it")
+	}
+}
+
 // Guards against a zone whose relay has died, and against one that is cut off
 // from the watcher.
 func TestZonesWithoutRelayOrWatcherReadForThemselves(t *testing.T) {
--- a/internal/core/steering/steerer.go
+++ b/internal/core/steering/steerer.go
@@ -71,7 +71,7 @@
 	if snapshot == nil || snapshot.Version == 0 {
 		return Verdict{Reason: model.ReasonNoConfiguration}
 	}
-	s.use(snapshot)
+	s.use(snapshot, now)
 	s.checkOpens(now)
 	s.sweep(now)
 	if p.Opens() {
@@ -81,7 +81,7 @@
 }
 
 // use prepares for a snapshot.
-func (s *Steerer) use(snapshot *Snapshot) {
+func (s *Steerer) use(snapshot *Snapshot, now model.Time) {
 	if s.snapshot == snapshot {
 		return
 	}
@@ -89,6 +89,10 @@
 	for token, t := range s.targets {
 		if server := snapshot.Servers.Find(token); server != nil {
 			t.renew(server)
+			if since := snapshot.Silent[server.Zone]; since != 0 && t.flows > 0 && server.ReachAt.Before(since) && t.answeredAt.Before(since) {
+				// Its next flow or request would find out by its own silence only.
+				s.confirm(t, now)
+			}
 		} else if t.flows == 0 {
 			delete(s.targets, token)
 		}
--- a/internal/core/steering/steering_test.go
+++ b/internal/core/steering/steering_test.go
@@ -283,6 +283,26 @@
 	require.Equal(t, b.ID, r.steerer.TakeSuspect().ID, "the probe may have had no clear result")
 }
 
+// Guards against flows to a zone that is cut off of which each has to find out by its own
+// silence: servers with open flows are asked for at once, and only once.
+func TestServersOfASilentZoneAreAskedFor(t *testing.T) {
+	r := newRig(t)
+	far := servers("b", "y", 2)
+	r.use(servers("a", "z", 3), far)
+	b := r.open(2, routeB)
+	silent := func(since model.Time) *Server {
+		r.use(servers("a", "z", 3), far)
+		r.snapshot.Silent = map[model.Zone]model.Time{"y": since}
+		r.syn(1, routeA, 0)
+		return r.steerer.TakeSuspect()
+	}
+	r.now += second
+	require.Nil(t, silent(r.now-2*second), "the server has answered since")
+	require.Equal(t, b.ID, silent(r.now).ID)
+	require.Nil(t, r.steerer.TakeSuspect(), "the other server has no flows")
+	require.Nil(t, silent(r.now))
+}
+
 // Guards against a reset for a token that another instance knows already.
 func TestUnknownTokensAreDropped(t *testing.T) {
 	r := newRig(t)
--- a/internal/core/steering/types.go
+++ b/internal/core/steering/types.go
@@ -178,6 +178,8 @@
 	Neighbours int
 	// CutOff is set while no instance of another zone can be heard.
 	CutOff bool
+	// Silent is since when the instances of other zones do not answer.
+	Silent map[model.Zone]model.Time
 	// ConfirmedAt is when the registry was last known to hold nothing newer.
 	ConfirmedAt model.Time
 	// FreshFor is the age of the confirmation up to which a missing route counts as
