Size the log of changes by the number of servers

When a zone of 1,000 servers returns, each changes three to four times (1,130 lines of 385 servers on an own deployment of 99 instances), more than the 1,024 changes that the log kept, so that each instance that had missed some pulled a complete listing of 300 kB.

Change: twice the number of servers, 1,024 to 8,192 changes (about 2 MB).

Test: after 1,500 changes behind a cut an instance took 151 messages of a listing, now none.

--- a/internal/control/registry/exchange_test.go
+++ b/internal/control/registry/exchange_test.go
@@ -81,6 +81,27 @@
 	require.Zero(t, f.pulls()-before)
 }
 
+// Guards against whole listings between instances after many servers have changed, as
+// when a zone returns: with 300 instances they took all of the links.
+func TestManyChangesArePulledWithoutAListing(t *testing.T) {
+	f := settled(t, 6, 2)
+	change := func() {
+		for i := range 1500 {
+			f.store.server(fmt.Sprintf("b%04d", i))
+		}
+	}
+	change()
+	f.run(2 * time.Second)
+	f.store.down = func(node int) bool { return node == 5 }
+	f.cut = func(from, to int) bool { return from == 5 || to == 5 }
+	change()
+	f.run(time.Second)
+	f.cut, f.listings = nil, 0
+	f.run(5 * time.Second)
+	require.Equal(t, f.store.revision, f.nodes[5].feed.revision)
+	require.Zero(t, f.listings)
+}
+
 // Guards against a listing that never completes because the parts of two answers mix:
 // each part of one made the instance forget the other.
 func TestAnswersInPartsOfTwoInstancesComplete(t *testing.T) {
--- a/internal/control/registry/feed.go
+++ b/internal/control/registry/feed.go
@@ -111,6 +111,7 @@
 	if !m.apply(entries) {
 		return false
 	}
+	m.peers.log.Fit(m.catalog.Servers())
 	if leaps {
 		m.peers.log.AddLeap(m.feed.revision, revision, entries)
 	} else {
--- a/internal/control/registry/fleet_test.go
+++ b/internal/control/registry/fleet_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/savorytiller/savorytiller/internal/core/catalog"
 	"github.com/savorytiller/savorytiller/internal/core/model"
+	"github.com/savorytiller/savorytiller/internal/core/peer"
 	"github.com/savorytiller/savorytiller/internal/core/steering"
 	"github.com/savorytiller/savorytiller/internal/port"
 )
@@ -117,6 +118,8 @@
 	loss     float64
 	snapshot []*steering.Snapshot
 	messages int
+	// listings counts the messages that bring a complete listing.
+	listings int
 }
 
 // newFleet returns instances in zones z0, z1, ... that know the first as seed.
@@ -264,6 +267,9 @@
 		f.watches = slices.DeleteFunc(f.watches, func(w watch) bool { return w.node == node })
 	case effSend:
 		f.messages++
+		if x.message.Kind == peer.Changes && x.message.After == 0 {
+			f.listings++
+		}
 		to, ok := f.byAddr[x.to]
 		if !ok || f.cut != nil && f.cut(node, to) || f.random.Float64() < f.loss {
 			return
--- a/internal/core/peer/log.go
+++ b/internal/core/peer/log.go
@@ -6,9 +6,12 @@
 	"github.com/savorytiller/savorytiller/internal/core/catalog"
 )
 
-// maxLogged bounds the changes that a Log keeps: minutes of a fleet that
-// replaces its servers.
-const maxLogged = 1024
+// Bounds of the changes that a Log keeps: minutes of a small fleet that replaces its
+// servers, and about 2 MB.
+const (
+	minLogged = 1024
+	maxLogged = 8192
+)
 
 // gap is a span of revisions that a listing leaped over. What came and went
 // within it is not in the log, so it leads from its beginning to its end only.
@@ -16,6 +19,7 @@
 
 // Log holds the latest changes of the registry in the order of their revisions.
 type Log struct {
+	limit int
 	// start is the revision after which the log is complete.
 	start   uint64
 	entries []catalog.Entry
@@ -23,7 +27,11 @@
 }
 
 // Reset begins anew after a listing that is complete up to a revision.
-func (l *Log) Reset(revision uint64) { *l = Log{start: revision} }
+func (l *Log) Reset(revision uint64) { *l = Log{limit: l.limit, start: revision} }
+
+// Fit sizes the log for a number of servers: when a zone returns, each of its servers
+// changes several times, and whoever missed that should not need a whole listing.
+func (l *Log) Fit(servers int) { l.limit = min(max(minLogged, 2*servers), maxLogged) }
 
 // Add appends changes in the order of their revisions. Those that the log holds
 // are left out. Several may have one revision: a listing gives removals its own.
@@ -38,7 +46,7 @@
 			l.entries = append(l.entries, *e)
 		}
 	}
-	if over := len(l.entries) - maxLogged; over > 0 {
+	if over := len(l.entries) - max(l.limit, minLogged); over > 0 {
 		l.start = l.entries[over-1].Revision
 		l.entries = append([]catalog.Entry(nil), l.entries[over:]...)
 	}
--- a/internal/core/peer/peer_test.go
+++ b/internal/core/peer/peer_test.go
@@ -41,8 +41,12 @@
 	got, _, _ = l.After(15)
 	require.Len(t, got, 3, "in two messages that overlap")
 
+	l.Fit(1_000_000)
 	l.Add(entries(21, 21+2*maxLogged))
-	require.Len(t, l.entries, maxLogged)
+	require.Equal(t, maxLogged, len(l.entries))
+	l.Fit(10)
+	l.Add(entries(22+2*maxLogged, 23+2*maxLogged))
+	require.Equal(t, minLogged, len(l.entries))
 	_, _, ok = l.After(20)
 	require.False(t, ok)
 }
