Ask soon for a change that a later one shows to be lost

Change: a change that leads on from a revision that the instance lacks came over the same way after it, so the pause is 50 ms then.

--- a/internal/control/registry/changes.go
+++ b/internal/control/registry/changes.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"time"
 
 	"github.com/savorytiller/savorytiller/internal/core/catalog"
 	"github.com/savorytiller/savorytiller/internal/core/model"
@@ -24,16 +25,19 @@
 	case !m.feed.listed && m.contact, m.feed.listed && message.Revision < m.feed.revision:
 		// A listing is on its way, or the sender is behind.
 	default:
-		m.lag(message.From, message.Revision)
+		m.lag(message.From, message.Revision, pullAfter)
 	}
 }
 
-// lag notes that another instance is further, and plans to ask it. Changes are mostly
-// on their way already; without a listing there is nothing to wait for.
-func (m *machine) lag(from model.Member, revision uint64) {
+// lag notes that another instance is further, and plans to ask it after a time in which
+// the changes may arrive by themselves. Without a listing there is nothing to wait for.
+func (m *machine) lag(from model.Member, revision uint64, after time.Duration) {
 	p := &m.peers
-	if p.ahead == 0 && m.feed.listed {
-		p.pullAt = max(p.pullAt, m.now.Add(pullAfter))
+	if !m.feed.listed {
+		after = 0
+	}
+	if at := m.now.Add(after); p.ahead == 0 || at.Before(p.pullAt) {
+		p.pullAt = at
 	}
 	if revision >= p.ahead {
 		p.ahead, p.aheadFrom = revision, from
@@ -50,12 +54,12 @@
 		p.ahead = 0
 		return
 	}
-	if m.now.Before(p.pullAt) {
-		m.wake(p.pullAt)
+	if at := max(p.pullAt, p.pullAgainAt); m.now.Before(at) {
+		m.wake(at)
 		return
 	}
-	p.pullAt = m.now.Add(pullAgain)
-	m.wake(p.pullAt)
+	p.pullAgainAt = m.now.Add(pullAgain)
+	m.wake(p.pullAgainAt)
 	message := m.message(peer.Pull, p.aheadFrom.ID)
 	if m.feed.listed {
 		message.After = m.feed.revision
@@ -113,7 +117,7 @@
 	case f.listed && message.Revision <= f.revision:
 		return
 	case f.listed && (message.After > f.revision || message.Leaps && message.After != f.revision):
-		m.lag(message.From, message.Revision)
+		m.lag(message.From, message.Revision, pullAfterGap)
 		return
 	case !f.listed && message.After != 0:
 		return
@@ -121,7 +125,7 @@
 	entries, ok := m.peers.collect(m.now, message)
 	if !ok {
 		// The answer to a pull may take its time on a narrow link.
-		m.peers.pullAt = max(m.peers.pullAt, m.now.Add(pullAgain))
+		m.peers.pullAgainAt = m.now.Add(pullAgain)
 		return
 	}
 	after := f.revision
--- a/internal/control/registry/exchange_test.go
+++ b/internal/control/registry/exchange_test.go
@@ -81,6 +81,18 @@
 	require.Zero(t, f.pulls()-before)
 }
 
+// Guards against an instance that waits for a change that was lost although the next one
+// has arrived over the same way.
+func TestLostChangeIsPulledSoonAfterTheNextOne(t *testing.T) {
+	f := settled(t, 12, 3)
+	f.cut = func(_, to int) bool { return to == 4 }
+	f.store.server("b")
+	f.run(120 * time.Millisecond)
+	f.cut = nil
+	f.store.config(5, 20)
+	require.LessOrEqual(t, f.everywhere(5, 5*time.Second), 100*time.Millisecond+pullAfterGap+30*time.Millisecond)
+}
+
 // Guards against whole listings between instances after many servers have changed, as
 // when a zone returns: with 300 instances they took all of the links.
 func TestManyChangesArePulledWithoutAListing(t *testing.T) {
--- a/internal/control/registry/peers.go
+++ b/internal/control/registry/peers.go
@@ -33,6 +33,9 @@
 	// pullAfter is how long changes that another instance has may take to arrive by
 	// themselves. They come over a relay and one call behind the watcher's.
 	pullAfter = 200 * time.Millisecond
+	// pullAfterGap is the same once a later change has arrived over the same way: only
+	// messages that overtook each other are still to come.
+	pullAfterGap = 50 * time.Millisecond
 	// pullAgain is the time after which an answer to a pull counts as lost: the first
 	// part of a listing on a link of 10 Mbit/s that others use too.
 	pullAgain = 300 * time.Millisecond
@@ -74,10 +77,11 @@
 	tickAt         model.Time
 	seedAt         model.Time
 	// ahead is the furthest revision that another instance, aheadFrom, is known to hold
-	// and this one lacks; 0 for none. pullAt is when it is asked.
-	ahead     uint64
-	aheadFrom model.Member
-	pullAt    model.Time
+	// and this one lacks; 0 for none. It is asked at pullAt, but not before pullAgainAt,
+	// while an earlier question may be answered.
+	ahead               uint64
+	aheadFrom           model.Member
+	pullAt, pullAgainAt model.Time
 	// heard is when a message of a zone arrived last.
 	heard      map[model.Zone]model.Time
 	askOtherAt model.Time
