Name suspects to the zone of the server only, at a limited rate

When 1,000 servers fail every instance told every other one, and all probed all of them.

Change: a suspect is named to the instances of its zone, by way of their relay from other zones; at most 64 messages a second to the own zone.

Test: TestOthersProbeAServerThatOneCouldNotReach now demands the probe in the server's zone, and none elsewhere.

--- a/internal/control/registry/peers.go
+++ b/internal/control/registry/peers.go
@@ -101,6 +101,8 @@
 	told      map[model.ServerID]model.Time
 	toldSince model.Time
 	toldCount int
+	// tellAt is when suspects may be named to the own zone again.
+	tellAt model.Time
 	// silent is since when zones do not answer.
 	silent map[model.Zone]model.Time
 	log    peer.Log
--- a/internal/control/registry/suspects.go
+++ b/internal/control/registry/suspects.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/savorytiller/savorytiller/internal/core/catalog"
+	"github.com/savorytiller/savorytiller/internal/core/model"
 	"github.com/savorytiller/savorytiller/internal/core/peer"
 )
 
@@ -12,28 +13,47 @@
 	// maxTold is the number of servers a second that are probed because others name
 	// them, so that the loss of many servers does not cost more than the traffic to them.
 	maxTold = 32
+	// maxTells is the number of messages a second that name suspects to the own zone.
+	maxTells = 64
 	// toldFor is how long the result of a probe that others asked for is not passed on.
 	toldFor = 2 * time.Second
 )
 
-// tellSuspect names a server that this instance could not reach to the others, which
-// would find out by lost flows of their own. In a zone that does not answer only the
-// way there is known to fail.
+// tellSuspect names a server that this instance could not reach to the instances of the
+// server's zone, most of whose flows go there and would be lost one by one. In a zone
+// that does not answer only the way there is known to fail.
 func (m *machine) tellSuspect(s *catalog.ServerEntry) {
 	p := &m.peers
 	if at, told := p.told[s.ID]; told && m.now.Sub(at) < toldFor || p.cut || p.silent[s.Zone] != 0 {
 		return
 	}
 	p.told[s.ID] = m.now
-	m.sendSuspects([]peer.Suspect{{ID: s.ID, Started: s.Started}}, true)
+	suspects := []peer.Suspect{{ID: s.ID, Started: s.Started}}
+	if s.Zone == m.zone {
+		m.tellZone(suspects)
+	} else if relay := p.placed.Strongest(s.Zone, dutyKey); relay != nil {
+		m.sendSuspects(*relay, suspects)
+	}
 }
 
-func (m *machine) sendSuspects(suspects []peer.Suspect, otherZones bool) {
-	for _, to := range m.audience(otherZones) {
-		message := m.message(peer.News, to.ID)
-		message.Suspects = suspects
-		m.send(to.PeerAddress, message)
+// tellZone names servers to the own zone. What exceeds the limit is left out: when many
+// servers fail, each instance soon knows of them.
+func (m *machine) tellZone(suspects []peer.Suspect) {
+	p := &m.peers
+	if m.now.Before(p.tellAt) {
+		return
 	}
+	audience := m.audience(false)
+	p.tellAt = m.now.Add(time.Duration(len(audience)) * time.Second / maxTells)
+	for _, to := range audience {
+		m.sendSuspects(to, suspects)
+	}
+}
+
+func (m *machine) sendSuspects(to model.Member, suspects []peer.Suspect) {
+	message := m.message(peer.News, to.ID)
+	message.Suspects = suspects
+	m.send(to.PeerAddress, message)
 }
 
 // takeSuspects probes the servers that another instance names. The relay passes those
@@ -54,7 +74,7 @@
 		m.catalog.Suspect(s.ID, s.Started)
 	}
 	if m.passesOn(message) {
-		m.sendSuspects(message.Suspects, false)
+		m.tellZone(message.Suspects)
 	}
 }
 
