--- a/internal/core/catalog/catalog.go
+++ b/internal/core/catalog/catalog.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/savorytiller/savorytiller/internal/core/model"
+	"github.com/savorytiller/savorytiller/internal/core/steering"
 )
 
 // Times of the catalog.
@@ -65,6 +66,9 @@
 type Catalog struct {
 	settings Settings
 	config   *Configuration
+	// routes are those of the configuration. Snapshots share the map, which does not
+	// change.
+	routes map[steering.Endpoint]*Route
 	// configKey is the key that held the configuration.
 	configKey string
 	// revisions holds the newest revision of each key, removed ones included.
@@ -72,6 +76,8 @@
 	tombs     int
 	listed    map[string]holding
 	servers   map[run]*server
+	// probeable are the servers that are suspect or unreachable.
+	probeable map[run]*server
 	withdrawn map[model.Zone]bool
 	// returned is when a zone came back into service.
 	returned map[model.Zone]model.Time
@@ -84,7 +90,7 @@
 // New returns an empty catalog.
 func New(s Settings) *Catalog {
 	return &Catalog{settings: s, revisions: map[string]uint64{}, listed: map[string]holding{},
-		servers: map[run]*server{}, withdrawn: map[model.Zone]bool{}, returned: map[model.Zone]model.Time{}}
+		servers: map[run]*server{}, probeable: map[run]*server{}, withdrawn: map[model.Zone]bool{}, returned: map[model.Zone]model.Time{}}
 }
 
 // Effect says what an entry changed.
@@ -133,6 +139,11 @@
 			return Unchanged
 		}
 		c.config, c.configKey = e.Config, e.Key
+		c.routes = make(map[steering.Endpoint]*Route, len(c.config.Routes))
+		for i := range c.config.Routes {
+			r := &c.config.Routes[i]
+			c.routes[r.Endpoint] = r
+		}
 		return ConfigurationInForce
 	case e.Server != nil:
 		return c.list(now, e.Key, e.Server)
@@ -251,6 +262,7 @@
 	for r, s := range c.servers {
 		if s.unlisted != 0 && now.Sub(s.unlisted) > c.settings.Lifetime+retainMargin {
 			delete(c.servers, r)
+			delete(c.probeable, r)
 			c.changed = true
 		}
 	}
--- a/internal/core/catalog/reach.go
+++ b/internal/core/catalog/reach.go
@@ -38,8 +38,10 @@
 
 // Suspect notes that flows to a run of a server got no answer.
 func (c *Catalog) Suspect(id model.ServerID, started int64) {
-	if s := c.servers[run{id, started}]; s != nil {
+	r := run{id, started}
+	if s := c.servers[r]; s != nil {
 		s.suspect = true
+		c.probeable[r] = s
 	}
 }
 
@@ -47,8 +49,12 @@
 // being probed. next is when the next one is due; 0 for none. Unreachable servers
 // are probed again only in zones that can be heard.
 func (c *Catalog) DueProbes(now model.Time, limit int, heard func(model.Zone) bool) (due []Probe, next model.Time) {
-	for _, s := range c.servers {
-		if s.probing || s.replaced || s.reach == Ended || !s.suspect && s.reach != Unreachable {
+	for r, s := range c.probeable {
+		if s.replaced || !s.suspect && s.reach != Unreachable {
+			delete(c.probeable, r)
+			continue
+		}
+		if s.probing || s.reach == Ended {
 			continue
 		}
 		again := probeAgain
@@ -88,7 +94,8 @@
 // Probed takes the result of a probe that was sent at the given time. It reports
 // whether the belief about the server changed.
 func (c *Catalog) Probed(sentAt, now model.Time, id model.ServerID, started int64, reach Reach) bool {
-	s := c.servers[run{id, started}]
+	r := run{id, started}
+	s := c.servers[r]
 	if s == nil {
 		return false
 	}
@@ -103,6 +110,9 @@
 		s.again = unreachableAgain
 	}
 	s.reach, s.reachAt = reach, sentAt
+	if reach == Unreachable {
+		c.probeable[r] = s
+	}
 	c.changed = true
 	return before != reach
 }
--- a/internal/core/catalog/snapshot.go
+++ b/internal/core/catalog/snapshot.go
@@ -16,11 +16,7 @@
 	s.IdleTimeout, s.Lifetime = c.settings.DefaultIdleTimeout, c.settings.Lifetime
 	if c.config != nil {
 		s.Version = c.config.Version
-		s.Routes = make(map[steering.Endpoint]*steering.Route, len(c.config.Routes))
-		for i := range c.config.Routes {
-			r := &c.config.Routes[i]
-			s.Routes[r.Endpoint] = r
-		}
+		s.Routes = c.routes
 		if c.config.IdleTimeout > 0 {
 			s.IdleTimeout = c.config.IdleTimeout
 		}
