One way to ask for a probe of a server, one clamp of the log; drop an unused field

Found on reading the change again: the steerer listed a suspect server in two places, the log clamped its size in two, and steering.Service had a health path that nothing reads, as probes take it from the catalog. Behaviour stays.

--- a/internal/core/catalog/snapshot.go
+++ b/internal/core/catalog/snapshot.go
@@ -47,7 +47,7 @@
 	if b.catalog.config != nil {
 		for i := range b.catalog.config.Services {
 			s := &b.catalog.config.Services[i]
-			services[s.Name] = &steering.Service{Name: s.Name, ColdPerSecond: s.ColdPerSecond, HealthPath: s.HealthPath}
+			services[s.Name] = &steering.Service{Name: s.Name, ColdPerSecond: s.ColdPerSecond}
 		}
 	}
 	for _, s := range b.catalog.servers {
--- a/internal/core/peer/log.go
+++ b/internal/core/peer/log.go
@@ -19,7 +19,8 @@
 
 // Log holds the latest changes of the registry in the order of their revisions.
 type Log struct {
-	limit int
+	// servers is the number of servers that the log is sized for.
+	servers int
 	// start is the revision after which the log is complete.
 	start   uint64
 	entries []catalog.Entry
@@ -27,11 +28,11 @@
 }
 
 // Reset begins anew after a listing that is complete up to a revision.
-func (l *Log) Reset(revision uint64) { *l = Log{limit: l.limit, start: revision} }
+func (l *Log) Reset(revision uint64) { *l = Log{servers: l.servers, start: revision} }
 
 // Fit sizes the log for a number of servers: when a zone returns, each of its servers
 // changes several times, and whoever missed that should not need a whole listing.
-func (l *Log) Fit(servers int) { l.limit = min(max(minLogged, 2*servers), maxLogged) }
+func (l *Log) Fit(servers int) { l.servers = servers }
 
 // Add appends changes in the order of their revisions. Those that the log holds
 // are left out. Several may have one revision: a listing gives removals its own.
@@ -46,7 +47,7 @@
 			l.entries = append(l.entries, *e)
 		}
 	}
-	if over := len(l.entries) - max(l.limit, minLogged); over > 0 {
+	if over := len(l.entries) - min(max(minLogged, 2*l.servers), maxLogged); over > 0 {
 		l.start = l.entries[over-1].Revision
 		l.entries = append([]catalog.Entry(nil), l.entries[over:]...)
 	}
--- a/internal/core/steering/standing.go
+++ b/internal/core/steering/standing.go
@@ -47,18 +47,18 @@
 	t.answeredAt, t.silent, t.retryAt, t.backoff = now, 0, 0, 0
 }
 
-// unanswered notes that something sent at the given time got no answer in time.
-// A sign of life after it outweighs it.
-func (t *target) unanswered(now, sentAt model.Time) {
+// unanswered notes that something sent at the given time got no answer in time. A
+// sign of life after it outweighs it; then it reports false.
+func (t *target) unanswered(now, sentAt model.Time) bool {
 	if t.answeredAt.After(sentAt) {
-		return
+		return false
 	}
 	t.silent++
-	t.report = true
 	if t.silent >= maxUnanswered {
 		t.backoff = min(max(minRetry, 2*t.backoff), maxRetry)
 		t.retryAt = now.Add(t.backoff)
 	}
+	return true
 }
 
 // renew takes the server as a new snapshot has it.
--- a/internal/core/steering/steerer.go
+++ b/internal/core/steering/steerer.go
@@ -115,8 +115,15 @@
 // unanswered notes that something sent to a target at the given time got no
 // answer.
 func (s *Steerer) unanswered(t *target, now, sentAt model.Time) {
-	reported := t.report
-	if t.unanswered(now, sentAt); t.report && !reported {
+	if t.unanswered(now, sentAt) {
+		s.report(t)
+	}
+}
+
+// report asks for a probe of a target unless that is asked for already.
+func (s *Steerer) report(t *target) {
+	if !t.report {
+		t.report = true
 		s.suspects = append(s.suspects, t)
 	}
 }
@@ -126,8 +133,8 @@
 	if now.Before(t.confirmAt) || t.report {
 		return
 	}
-	t.confirmAt, t.report = now.Add(confirmEvery), true
-	s.suspects = append(s.suspects, t)
+	t.confirmAt = now.Add(confirmEvery)
+	s.report(t)
 }
 
 // targetOf returns what is known of a server of the snapshot.
--- a/internal/core/steering/types.go
+++ b/internal/core/steering/types.go
@@ -137,8 +137,6 @@
 // Service is the set of servers that may get new flows.
 type Service struct {
 	Name string
-	// HealthPath is the path of the servers' health endpoint.
-	HealthPath string
 	// ColdPerSecond bounds the new flows of a cold server over all instances; 0
 	// means that only the fixed allowance holds.
 	ColdPerSecond float64
