--- a/internal/adapter/peerudp/codec.go
+++ b/internal/adapter/peerudp/codec.go
@@ -210,7 +210,7 @@
 		m.Updates = append(m.Updates, u)
 	}
 	for _, s := range w.Suspects {
-		m.Suspects = append(m.Suspects, peer.Suspect{ID: model.ServerID(s.ID), Started: s.Started})
+		m.Suspects = append(m.Suspects, catalog.Run{ID: model.ServerID(s.ID), Started: s.Started})
 	}
 	for i := 0; err == nil && i < len(w.Entries); i++ {
 		var e catalog.Entry
--- a/internal/adapter/peerudp/codec_test.go
+++ b/internal/adapter/peerudp/codec_test.go
@@ -26,7 +26,7 @@
 			Shares: []catalog.Share{{Service: "a", Weight: 9}, {Service: "b", Weight: 1}}}}}
 	return &peer.Message{Kind: peer.Changes, Call: 7, From: self, Updates: []member.Update{{Member: model.Member{ID: "n2", Liveness: model.Dead}}},
 		Join: true, Target: at, Revision: 40, Confirmed: true, CutOff: true, Age: 120 * time.Millisecond, After: 38, Leaps: true, Part: 1, Parts: 3,
-		Suspects: []peer.Suspect{{ID: "i-1", Started: 5}},
+		Suspects: []catalog.Run{{ID: "i-1", Started: 5}},
 		Entries: []catalog.Entry{
 			{Key: "c", Revision: 39, Config: config},
 			{Key: "c", Revision: 40, Delta: &catalog.Delta{Base: 9, Version: 12, IdleTimeout: time.Second,
--- a/internal/control/registry/probes_test.go
+++ b/internal/control/registry/probes_test.go
@@ -95,7 +95,7 @@
 	for i := range 100 {
 		id := fmt.Sprintf("b%d", i)
 		f.store.server(id)
-		message.Suspects = append(message.Suspects, peer.Suspect{ID: model.ServerID(id)})
+		message.Suspects = append(message.Suspects, catalog.Run{ID: model.ServerID(id)})
 	}
 	f.run(2 * time.Second)
 	f.step(1, evMessage{message})
--- a/internal/control/registry/suspects.go
+++ b/internal/control/registry/suspects.go
@@ -28,7 +28,7 @@
 		return
 	}
 	p.told[s.ID] = m.now
-	suspects := []peer.Suspect{{ID: s.ID, Started: s.Started}}
+	suspects := []catalog.Run{s.Run()}
 	if s.Zone == m.zone {
 		m.tellZone(suspects)
 	} else if relay := p.placed.Strongest(s.Zone, dutyKey); relay != nil {
@@ -38,7 +38,7 @@
 
 // tellZone names servers to the own zone. What exceeds the limit is left out: when many
 // servers fail, each instance soon knows of them.
-func (m *machine) tellZone(suspects []peer.Suspect) {
+func (m *machine) tellZone(suspects []catalog.Run) {
 	p := &m.peers
 	if m.now.Before(p.tellAt) {
 		return
@@ -50,7 +50,7 @@
 	}
 }
 
-func (m *machine) sendSuspects(to model.Member, suspects []peer.Suspect) {
+func (m *machine) sendSuspects(to model.Member, suspects []catalog.Run) {
 	message := m.message(peer.News, to.ID)
 	message.Suspects = suspects
 	m.send(to.PeerAddress, message)
--- a/internal/core/catalog/catalog.go
+++ b/internal/core/catalog/catalog.go
@@ -31,16 +31,10 @@
 	DefaultIdleTimeout time.Duration
 }
 
-// run identifies one run of a backend server.
-type run struct {
-	id      model.ServerID
-	started int64
-}
-
 // holding is what a listed key stands for: a run of a server, or a zone out of
 // service.
 type holding struct {
-	run  run
+	run  Run
 	zone model.Zone
 }
 
@@ -75,9 +69,9 @@
 	revisions map[string]uint64
 	tombs     int
 	listed    map[string]holding
-	servers   map[run]*server
+	servers   map[Run]*server
 	// probeable are the servers that are suspect or unreachable.
-	probeable map[run]*server
+	probeable map[Run]*server
 	withdrawn map[model.Zone]bool
 	// returned is when a zone came back into service.
 	returned map[model.Zone]model.Time
@@ -90,7 +84,7 @@
 // New returns an empty catalog.
 func New(s Settings) *Catalog {
 	return &Catalog{settings: s, revisions: map[string]uint64{}, listed: map[string]holding{},
-		servers: map[run]*server{}, probeable: map[run]*server{}, withdrawn: map[model.Zone]bool{}, returned: map[model.Zone]model.Time{}}
+		servers: map[Run]*server{}, probeable: map[Run]*server{}, withdrawn: map[model.Zone]bool{}, returned: map[model.Zone]model.Time{}}
 }
 
 // Effect says what an entry changed.
@@ -158,7 +152,7 @@
 
 // list takes a server's entry.
 func (c *Catalog) list(now model.Time, key string, e *ServerEntry) Effect {
-	r := run{e.ID, e.Started}
+	r := e.Run()
 	if old, ok := c.listed[key]; ok && old.run != r {
 		c.unlist(now, old.run)
 		if s := c.servers[old.run]; s != nil {
@@ -182,7 +176,7 @@
 	return ServerListed
 }
 
-func (c *Catalog) unlist(now model.Time, r run) {
+func (c *Catalog) unlist(now model.Time, r Run) {
 	if s := c.servers[r]; s != nil && s.unlisted == 0 {
 		s.unlisted = now
 	}
--- a/internal/core/catalog/reach.go
+++ b/internal/core/catalog/reach.go
@@ -38,7 +38,7 @@
 
 // Suspect notes that flows to a run of a server got no answer.
 func (c *Catalog) Suspect(id model.ServerID, started int64) {
-	r := run{id, started}
+	r := Run{id, started}
 	if s := c.servers[r]; s != nil {
 		s.suspect = true
 		c.probeable[r] = s
@@ -94,7 +94,7 @@
 // Probed takes the result of a probe that was sent at the given time. It reports
 // whether the belief about the server changed.
 func (c *Catalog) Probed(sentAt, now model.Time, id model.ServerID, started int64, reach Reach) bool {
-	r := run{id, started}
+	r := Run{id, started}
 	s := c.servers[r]
 	if s == nil {
 		return false
--- a/internal/core/catalog/types.go
+++ b/internal/core/catalog/types.go
@@ -51,6 +51,15 @@
 	ColdFor time.Duration
 }
 
+// Run returns which run of the server wrote the entry.
+func (e *ServerEntry) Run() Run { return Run{e.ID, e.Started} }
+
+// Run identifies one run of a backend server.
+type Run struct {
+	ID      model.ServerID
+	Started int64
+}
+
 // Entry is a key of the registry with its decoded value. Exactly one of Config,
 // Server, Withdrawn and Problem is set unless the entry is removed.
 type Entry struct {
--- a/internal/core/peer/message.go
+++ b/internal/core/peer/message.go
@@ -55,7 +55,7 @@
 
 	// Suspects are servers that a probe of the sender did not reach. The receiver probes
 	// them itself.
-	Suspects []Suspect
+	Suspects []catalog.Run
 
 	// CutOff is set if the sender hears no instance of another zone.
 	CutOff bool
@@ -73,12 +73,6 @@
 	Part, Parts int
 }
 
-// Suspect names a run of a server.
-type Suspect struct {
-	ID      model.ServerID
-	Started int64
-}
-
 // maxBytes is the size up to which entries share a message, below the size at
 // which networks split datagrams.
 const maxBytes = 1000
