core/note: accept a note that changes several servers in any order

Cause: a changed server was removed and appended before the next one was searched by binary search, so from the third on the list was no longer sorted and the note was refused as contradictory. Change: all changed servers are removed before any is added again.

--- a/internal/core/note/apply.go
+++ b/internal/core/note/apply.go
@@ -188,14 +188,18 @@
 }
 
 func (b *builder) applyServers(n *Note) *Refusal {
+	// All changed servers are removed before any is added again, because removeServer
+	// searches a sorted list and addServer appends to it.
 	for i := range n.Changed.Servers {
-		s := &n.Changed.Servers[i]
-		from, ok := b.serviceOf[s.ID]
+		id := n.Changed.Servers[i].ID
+		from, ok := b.serviceOf[id]
 		if !ok || b.removed[from] {
-			return contradiction("changed server %s does not exist", s.ID)
+			return contradiction("changed server %s does not exist", id)
 		}
-		b.removeServer(from, s.ID)
-		if r := b.addServer(s); r != nil {
+		b.removeServer(from, id)
+	}
+	for i := range n.Changed.Servers {
+		if r := b.addServer(&n.Changed.Servers[i]); r != nil {
 			return r
 		}
 	}
--- a/internal/core/note/note_test.go
+++ b/internal/core/note/note_test.go
@@ -128,3 +128,24 @@
 	q.Track(third, third, at.Add(AddressQuarantine))
 	require.Zero(t, q.Until(2, &moved.Server))
 }
+
+// Guards against a valid note that is refused because of the order in which it names the
+// servers: a changed server that was appended left the list unsorted for the next search.
+func TestChangedServersMayBeNamedInAnyOrder(t *testing.T) {
+	first, err := Apply(nil, &Note{Format: Format, Version: 1, Added: Set{Services: []model.Service{testService(1), testService(2)},
+		Servers: []Server{testServer(1, 1, 10), testServer(2, 1, 10), testServer(3, 1, 10), testServer(4, 2, 10)}}})
+	require.NoError(t, err)
+	for _, order := range [][]int{{1, 2, 3}, {3, 2, 1}, {2, 3, 1}, {4, 1, 3, 2}} {
+		n := &Note{Format: Format, Version: 2, Base: 1}
+		for _, i := range order {
+			n.Changed.Servers = append(n.Changed.Servers, testServer(i, 1, 20))
+		}
+		changed, err := Apply(first, n)
+		require.NoError(t, err, "order %v", order)
+		for _, i := range order {
+			j, ok := findServer(changed.Services[0].Servers, model.ServerID(fmt.Sprintf("s%d", i)))
+			require.True(t, ok, "order %v", order)
+			require.EqualValues(t, 20, changed.Services[0].Servers[j].Weight)
+		}
+	}
+}
