control: a backoff of the configuration service no longer delays transfers from peers

Cause: reads of notes from the service and fetches from peers shared one retry time. After failed reads the scheduler's backoff (up to 30 s, seen 41 s after the end of the outage) was stored there, so an instance with five holders of a newer version fetched from none of them. Ruled out: refused notes, a transfer that never ended, dead holders (state printed at the end of TestNeverRevertsUnderFaults). Change: serviceReadAt delays only reads of the service.

--- a/internal/control/fleet_test.go
+++ b/internal/control/fleet_test.go
@@ -109,6 +109,30 @@
 	})
 }
 
+// Guards against an instance that keeps an old version although its peers have a newer one:
+// the backoff after failed reads of the service delayed the transfers from peers as well.
+func TestServiceBackoffDoesNotDelayTransfersFromPeers(t *testing.T) {
+	s := newSim(5)
+	s.publish(initialBody(2, "a", "b"))
+	s.fleet(2, "a", "b")
+	s.run(4 * time.Second)
+	n := s.nodes["b-2"]
+	s.cut = func(a, b model.InstanceID) bool { return a == "b-2" || b == "b-2" }
+	for range 6 {
+		n.m.scheduler.BackOff(s.now)
+	}
+	n.m.handleLatest([]byte(`{"version":2,"digest":""}`)) // announced just before the outage
+	n.deliver(evTimer{})
+	for w := range 3 {
+		s.publish(weightBody("a-s0", "a", 5000, w+1))
+	}
+	s.run(2 * time.Second)
+	require.EqualValues(t, 1, n.m.version())
+	s.cut, s.configService.down = nil, true
+	s.run(8 * time.Second)
+	require.EqualValues(t, s.configService.revision, n.m.version())
+}
+
 // Guards against a new instance that takes an old configuration from a stale service,
 // or none from an unreachable one, although its peers have the newest version.
 func TestNewInstanceNeverRevertsToStaleService(t *testing.T) {
--- a/internal/control/notes.go
+++ b/internal/control/notes.go
@@ -70,7 +70,10 @@
 	skipUpTo        model.Version
 	transferRunning bool
 	needsFullConfig bool // the next transfer from a peer must be a complete configuration
-	retryAt         model.Time
+	// retryAt is the earliest time of the next transfer. serviceReadAt is that of the next
+	// read of a note or a checkpoint from the service, which does not delay transfers from
+	// peers.
+	retryAt, serviceReadAt model.Time
 	// Parts received so far of a complete configuration, from the service or a peer.
 	parts            []*note.Note
 	checkpoint       note.Checkpoint
@@ -193,9 +196,14 @@
 		}
 		return
 	}
-	if n.latest.Version > max(m.version(), n.skipUpTo) {
-		m.readNextFromService()
+	if n.latest.Version <= max(m.version(), n.skipUpTo) {
+		return
+	}
+	if m.now.Before(n.serviceReadAt) {
+		m.wakeBy(n.serviceReadAt)
+		return
 	}
+	m.readNextFromService()
 }
 
 func (m *machine) isDead(id model.InstanceID) bool {
@@ -222,7 +230,7 @@
 func (m *machine) readIfAllowed(key string) {
 	ok, at := m.scheduler.Allow(m.now, m.schedulerInput())
 	if !ok {
-		m.notes.retryAt = at
+		m.notes.serviceReadAt = at
 		m.wakeBy(at)
 		return
 	}
