peerudp: count messages between instances by cause and zone

Cause: the bytes between instances grow faster than the fleet, and nothing showed which messages they are. Change: each socket counts messages and bytes by cause, direction and whether they stay in the zone; gauges peer_* on the metrics address and one log line each 10 s. port.PeerSender gets the member, since the zone of an address alone is unknown.

--- a/internal/adapter/peerudp/codec_test.go
+++ b/internal/adapter/peerudp/codec_test.go
@@ -84,7 +84,7 @@
 func TestSocketsCarryLargeMessagesAndSkipInvalidOnes(t *testing.T) {
 	recorder := metrics.New(16)
 	listen := func() *Socket {
-		s, err := Listen(netip.MustParseAddrPort("127.0.0.1:0"), recorder)
+		s, err := Listen(netip.MustParseAddrPort("127.0.0.1:0"), "halle-a", recorder)
 		require.NoError(t, err)
 		return s
 	}
@@ -98,8 +98,23 @@
 	for range 1500 {
 		m.Entries[0].Config.Routes = append(m.Entries[0].Config.Routes, m.Entries[0].Config.Routes[0])
 	}
-	from.Send(to.socket.Address(), m)
+	from.Send(model.Member{PeerAddress: to.socket.Address(), Zone: "halle-a"}, m)
 	require.Len(t, (<-got).Entries[0].Config.Routes, 1501)
 	cancel()
 	require.ErrorIs(t, <-done, context.Canceled)
+
+	// Guards against bytes that are counted for another cause or zone.
+	for i, sent := range from.Traffic() {
+		received := to.Traffic()[i].Received
+		if sent.Cause == m.Cause() && sent.OwnZone {
+			require.EqualValues(t, 1, sent.Sent.Messages)
+			require.Greater(t, sent.Sent.Bytes, uint64(10_000))
+		} else {
+			require.Zero(t, sent.Sent)
+		}
+		if received.Messages > 0 {
+			require.Equal(t, m.Cause(), sent.Cause)
+			require.Equal(t, m.From.Zone == "halle-a", sent.OwnZone)
+		}
+	}
 }
--- a/internal/adapter/peerudp/socket.go
+++ b/internal/adapter/peerudp/socket.go
@@ -24,33 +24,36 @@
 type Socket struct {
 	socket   *udp.Socket
 	recorder port.Recorder
+	traffic  traffic
 }
 
 var _ port.PeerSender = (*Socket)(nil)
 
-// Listen opens the socket for messages of other instances. It returns
-// port.ErrUnavailable if that fails.
-func Listen(at netip.AddrPort, recorder port.Recorder) (*Socket, error) {
+// Listen opens the socket for messages of other instances. zone is the availability zone of
+// this instance. The error is port.ErrUnavailable.
+func Listen(at netip.AddrPort, zone model.Zone, recorder port.Recorder) (*Socket, error) {
 	s, err := udp.Listen(at)
 	if err != nil {
 		return nil, err
 	}
-	return &Socket{s, recorder}, nil
+	return &Socket{socket: s, recorder: recorder, traffic: traffic{zone: zone}}, nil
 }
 
 // Send implements port.PeerSender. Senders repeat lost messages, so errors are only
 // counted.
-func (s *Socket) Send(to netip.AddrPort, m *peer.Message) {
+func (s *Socket) Send(to model.Member, m *peer.Message) {
 	datagram, err := encode(m)
 	if err == nil && len(datagram) > maxDatagram {
 		err = port.ErrTooLarge
 	}
 	if err == nil {
-		err = s.socket.SendPacket(to, datagram)
+		err = s.socket.SendPacket(to.PeerAddress, datagram)
 	}
 	if err != nil {
 		s.recorder.Count(part, model.ReasonSendFailed)
+		return
 	}
+	s.traffic.sent[m.Cause()][s.traffic.scope(to.Zone)].add(len(datagram))
 }
 
 // Serve calls receive for each message until the context ends, then closes the socket
@@ -69,6 +72,7 @@
 			s.recorder.Count(part, model.ReasonPeerUnreachable)
 		default:
 			if m, err := decode(buffer[:n]); err == nil {
+				s.traffic.received[m.Cause()][s.traffic.scope(m.From.Zone)].add(n)
 				receive(m)
 			} else {
 				s.recorder.Count(part, model.ReasonMalformed)
--- a/internal/app/steer/instance.go
+++ b/internal/app/steer/instance.go
@@ -92,7 +92,7 @@
 	i.settings.Store(s)
 	seed := rand.Uint64() // random choices must differ between instances
 	var err error
-	if i.peers, err = peerudp.Listen(s.Listen.Peers, i.recorder); err != nil {
+	if i.peers, err = peerudp.Listen(s.Listen.Peers, s.Instance.Zone, i.recorder); err != nil {
 		return nil, merry.Prepend(err, "listen.peers")
 	}
 	self := model.Member{ID: s.Instance.ID, Zone: s.Instance.Zone, Incarnation: i.clock.Incarnation(), PeerAddress: s.Listen.Peers,
@@ -135,8 +135,8 @@
 	return nil
 }
 
-// gauges returns the number of log lines that were left out and the counters of the
-// control goroutine.
+// gauges returns the number of log lines that were left out, the counters of the control
+// goroutine and the traffic with other instances.
 func (i *Instance) gauges() map[string]float64 {
 	out := map[string]float64{"log_lines_left_out": float64(i.linesLeftOut())}
 	if c := i.control.Counts(); c != nil {
@@ -146,6 +146,15 @@
 			out["registry_"+name] = float64(n)
 		}
 	}
+	for _, t := range i.peers.Traffic() {
+		scope := "other_zones"
+		if t.OwnZone {
+			scope = "own_zone"
+		}
+		name := t.Cause.String() + "_" + scope
+		out["peer_sent_bytes_"+name], out["peer_sent_messages_"+name] = float64(t.Sent.Bytes), float64(t.Sent.Messages)
+		out["peer_received_bytes_"+name], out["peer_received_messages_"+name] = float64(t.Received.Bytes), float64(t.Received.Messages)
+	}
 	return out
 }
 
@@ -165,6 +174,7 @@
 		{Name: "peers", Run: func(ctx context.Context) error { return i.peers.Serve(ctx, i.control.Receive) }},
 		{Name: "settings", Run: func(ctx context.Context) error { return i.reload(ctx, r) }},
 		{Name: "traffic", Run: i.worker.Run},
+		{Name: "traffic report", Run: i.reportPeerTraffic},
 		{Name: "readiness", Run: func(context.Context) error { return httpserve.Serve(i.readinessServer, i.readinessListener) }},
 	}
 	if i.statusServer != nil {
--- a/internal/control/registry/changes.go
+++ b/internal/control/registry/changes.go
@@ -70,7 +70,7 @@
 		message.AfterRevision = m.feed.revision
 	}
 	m.counts.Pulls++
-	m.send(p.newestFrom.PeerAddress, message)
+	m.send(p.newestFrom, message)
 }
 
 // answerPull sends the requested changes, or a complete listing if the change log does not
@@ -114,7 +114,7 @@
 		out := m.newMessage(peer.Changes, to.ID)
 		out.CallID, out.AfterRevision, out.Compacted = m.peers.lastCallID, changes.afterRevision, changes.compacted
 		out.Entries, out.Part, out.Parts = group, i, len(changes.groups)
-		m.send(to.PeerAddress, out)
+		m.send(to, out)
 	}
 }
 
@@ -191,7 +191,7 @@
 		if changes != nil {
 			m.sendChanges(to, changes)
 		} else {
-			m.send(to.PeerAddress, m.newMessage(peer.Gossip, to.ID))
+			m.send(to, m.newMessage(peer.Gossip, to.ID))
 		}
 	}
 }
--- a/internal/control/registry/events.go
+++ b/internal/control/registry/events.go
@@ -107,7 +107,7 @@
 
 // effSend sends a message to another instance.
 type effSend struct {
-	to      netip.AddrPort
+	to      model.Member
 	message *peer.Message
 }
 
--- a/internal/control/registry/fleet_test.go
+++ b/internal/control/registry/fleet_test.go
@@ -279,7 +279,7 @@
 		} else if x.message.Kind == peer.Changes {
 			f.changes++
 		}
-		to, ok := f.byAddr[x.to]
+		to, ok := f.byAddr[x.to.PeerAddress]
 		if !ok || f.blocked != nil && f.blocked(node, to) || f.random.Float64() < f.loss {
 			return
 		}
--- a/internal/control/registry/machine_test.go
+++ b/internal/control/registry/machine_test.go
@@ -195,7 +195,7 @@
 
 type noPeers struct{}
 
-func (noPeers) Send(netip.AddrPort, *peer.Message) {}
+func (noPeers) Send(model.Member, *peer.Message) {}
 
 type noProber struct{}
 
--- a/internal/control/registry/peers.go
+++ b/internal/control/registry/peers.go
@@ -157,7 +157,7 @@
 	return out
 }
 
-func (m *machine) send(to netip.AddrPort, message *peer.Message) {
+func (m *machine) send(to model.Member, message *peer.Message) {
 	m.effects = append(m.effects, effSend{to, message})
 }
 
@@ -167,7 +167,7 @@
 	m.peers.lastCallID++
 	message.CallID = m.peers.lastCallID
 	m.peers.calls[message.CallID] = &pendingCall{to, m.now, m.now.Add(timeout), done}
-	m.send(to.PeerAddress, message)
+	m.send(to, message)
 }
 
 // maintainPeers does everything that is due towards other instances: probes, timeouts of
@@ -214,7 +214,7 @@
 		if !p.hasLiveAddress(seed) {
 			message := m.newMessage(peer.Probe, "")
 			message.Join = true
-			m.send(seed, message)
+			m.send(model.Member{PeerAddress: seed}, message)
 		}
 	}
 }
@@ -344,17 +344,17 @@
 	to := message.From
 	answer := m.newMessage(peer.Answer, to.ID)
 	answer.CallID = message.CallID
-	m.send(to.PeerAddress, answer)
+	m.send(to, answer)
 	if !message.Join {
 		return
 	}
 	for chunk := range slices.Chunk(m.peers.table.Members(), maxUpdatesPerMessage) {
 		gossip := m.newMessage(peer.Gossip, to.ID)
-		gossip.Updates = nil
+		gossip.Updates, gossip.Join = nil, true
 		for _, known := range chunk {
 			gossip.Updates = append(gossip.Updates, member.Update{Member: known})
 		}
-		m.send(to.PeerAddress, gossip)
+		m.send(to, gossip)
 	}
 }
 
@@ -366,7 +366,7 @@
 		if answered {
 			answer := m.newMessage(peer.Answer, from.ID)
 			answer.CallID = callID
-			m.send(from.PeerAddress, answer)
+			m.send(from, answer)
 		}
 	})
 }
--- a/internal/control/registry/unreachable.go
+++ b/internal/control/registry/unreachable.go
@@ -57,7 +57,7 @@
 func (m *machine) sendReport(to model.Member, servers []catalog.ServerRun) {
 	message := m.newMessage(peer.Gossip, to.ID)
 	message.UnreachableServers = servers
-	m.send(to.PeerAddress, message)
+	m.send(to, message)
 }
 
 // receiveReport requests probes of the servers that another instance reports. The relay
--- a/internal/core/peer/message.go
+++ b/internal/core/peer/message.go
@@ -43,7 +43,8 @@
 	From    model.Member
 	Updates []member.Update
 	// Join is set in probes to seeds, the configured addresses through which an instance
-	// finds the others. The receiver answers and then sends all members that are not dead.
+	// finds the others, and in the Gossip messages with members that the receiver sends
+	// after its answer.
 	Join bool
 	// Target is the address to probe in an IndirectProbe.
 	Target netip.AddrPort
--- a/internal/port/registry.go
+++ b/internal/port/registry.go
@@ -37,5 +37,7 @@
 // PeerSender sends messages to other instances. It does not block, and messages
 // may be lost.
 type PeerSender interface {
-	Send(to netip.AddrPort, m *peer.Message)
+	// Send sends a message to the peer address of an instance, of which only the address
+	// may be known.
+	Send(to model.Member, m *peer.Message)
 }
