core/member, control/registry: instances know a few contacts of each other zone

Cause: every instance kept all members of the fleet, and each message carried up to 16 updates about members until each had been sent 2 log2 n + 2 times by everyone. Ruled out: changes of the registry (0.6 MB between zones), confirmations, listings. Change: an instance knows its own zone and the five highest-ranked live instances of each other zone, among them its relay. Updates about other members stay in their zone. An instance that joins gets its zone's members from one of them; the first round of probes to other zones is a single probe.

--- a/internal/control/registry/machine.go
+++ b/internal/control/registry/machine.go
@@ -130,6 +130,7 @@
 		lastMessageAt: map[model.Zone]model.Time{}}
 	m.peers.setMembers([]model.Member{o.Self})
 	m.peers.table.SetDeadRetention(deadRetention)
+	m.peers.table.LimitContacts(contactsPerZone, dutyKey)
 	return m
 }
 
--- a/internal/control/registry/peers.go
+++ b/internal/control/registry/peers.go
@@ -18,11 +18,18 @@
 	// covers the probe by the other instance.
 	answerTimeout        = 400 * time.Millisecond
 	indirectProbeTimeout = 900 * time.Millisecond
-	// seedIntervalAlone is the time between probes of the seeds while no other instance
-	// is known, seedInterval while some are. The probes then continue because a seed may
-	// have members that none of the known instances has.
-	seedIntervalAlone = 500 * time.Millisecond
-	seedInterval      = 5 * time.Second
+	// seedIntervalAlone is the time between probes of the seeds while no other instance is
+	// known, seedInterval while no other zone is and seedIntervalJoined after that. The
+	// probes then continue because a seed may have members that none of the known
+	// instances has.
+	seedIntervalAlone  = 500 * time.Millisecond
+	seedInterval       = 5 * time.Second
+	seedIntervalJoined = 30 * time.Second
+	// zoneJoinInterval is the time between requests for the members of the own zone until
+	// the first answer, zoneSyncInterval the mean time between later ones. They repair
+	// what lost updates left different.
+	zoneJoinInterval = 300 * time.Millisecond
+	zoneSyncInterval = 15 * time.Second
 	// deadRetention is how long dead instances are kept and probed. It is longer than
 	// partitions that end without manual repair.
 	deadRetention = 10 * time.Minute
@@ -54,6 +61,11 @@
 // maxUpdatesPerMessage limits the members in one message, to bound its size.
 const maxUpdatesPerMessage = 16
 
+// contactsPerZone is the number of instances of each other zone that an instance knows. A
+// zone stays reachable if all but one of them are lost at once, and its instances probe
+// their own contacts if all are.
+const contactsPerZone = 5
+
 // pendingCall is a request to another instance that awaits its answer.
 type pendingCall struct {
 	to       model.Member
@@ -83,6 +95,10 @@
 	started            model.Time // time of the first event
 	tickAt             model.Time // next call of table.Tick
 	seedAt             model.Time // next probes of the seeds
+	// zoneJoinAt is when the members of the own zone are requested next. zoneJoined is set
+	// once they have been received.
+	zoneJoinAt model.Time
+	zoneJoined bool
 	// newestRevision is the newest revision that another instance, newestFrom, is known to
 	// have and this one lacks; 0 for none. It is pulled at pullAt, but not before
 	// pullRetryAt, because an earlier pull may still be answered.
@@ -187,6 +203,7 @@
 	}
 	m.scheduleWake(p.tickAt)
 	m.probeSeeds()
+	m.joinZone()
 	m.probeOtherZones()
 	if p.table.TakeChanged() {
 		m.membersChanged()
@@ -205,7 +222,10 @@
 		return
 	}
 	interval := seedIntervalAlone
-	if p.table.Len() > 1 {
+	switch {
+	case p.table.HasLiveContacts():
+		interval = seedIntervalJoined/2 + time.Duration(m.random.Int64N(int64(seedIntervalJoined)))
+	case p.table.Len() > 1:
 		interval = seedInterval
 	}
 	p.seedAt = m.now.Add(interval)
@@ -213,12 +233,35 @@
 	for _, seed := range p.seeds {
 		if !p.hasLiveAddress(seed) {
 			message := m.newMessage(peer.Probe, "")
-			message.Join = true
+			message.Join = interval <= seedInterval
 			m.send(model.Member{PeerAddress: seed}, message)
 		}
 	}
 }
 
+// joinZone requests the members of the own zone from one of them. The seeds may be in other
+// zones, whose instances know only a few members of this one.
+func (m *machine) joinZone() {
+	p := &m.peers
+	if m.now.Before(p.zoneJoinAt) {
+		m.scheduleWake(p.zoneJoinAt)
+		return
+	}
+	to, ok := p.table.RandomInZone()
+	if !ok {
+		return // the next message of a member of the zone leads here again
+	}
+	interval := zoneJoinInterval
+	if p.zoneJoined {
+		interval = zoneSyncInterval/2 + time.Duration(m.random.Int64N(int64(zoneSyncInterval)))
+	}
+	p.zoneJoinAt = m.now.Add(interval)
+	m.scheduleWake(p.zoneJoinAt)
+	message := m.newMessage(peer.Probe, to.ID)
+	message.Join = true
+	m.send(to, message)
+}
+
 // hasLiveAddress reports whether a live or leaving instance has the given peer address.
 func (p *peers) hasLiveAddress(address netip.AddrPort) bool {
 	return slices.ContainsFunc(p.members.All(), func(live model.Member) bool { return live.PeerAddress == address })
@@ -237,6 +280,10 @@
 		}
 	}
 	for _, was := range previous.All() {
+		// An instance of another zone that is no longer a contact left the table altogether.
+		if _, inTable := p.table.Get(was.ID); !inTable {
+			continue
+		}
 		if _, known := p.members.Get(was.ID); !known {
 			m.log.Info("instance unavailable", "instance", was.ID, "zone", was.Zone)
 		}
@@ -322,6 +369,7 @@
 	if message.CutOff && from.Zone == m.zone {
 		p.cutOffReportedAt = m.now
 	}
+	p.zoneJoined = p.zoneJoined || message.Kind == peer.Gossip && message.Join && from.Zone == m.zone
 	switch message.Kind {
 	case peer.Probe:
 		m.answerProbe(message)
@@ -338,8 +386,8 @@
 	m.compareRevision(message)
 }
 
-// answerProbe answers a probe, and sends all live and leaving members to an instance that
-// joins.
+// answerProbe answers a probe, and sends the live and leaving members that an instance that
+// joins needs to know.
 func (m *machine) answerProbe(message *peer.Message) {
 	to := message.From
 	answer := m.newMessage(peer.Answer, to.ID)
@@ -348,7 +396,7 @@
 	if !message.Join {
 		return
 	}
-	for chunk := range slices.Chunk(m.peers.table.Members(), maxUpdatesPerMessage) {
+	for chunk := range slices.Chunk(m.peers.table.MembersFor(to.Zone), maxUpdatesPerMessage) {
 		gossip := m.newMessage(peer.Gossip, to.ID)
 		gossip.Updates, gossip.Join = nil, true
 		for _, known := range chunk {
--- a/internal/control/registry/peers_test.go
+++ b/internal/control/registry/peers_test.go
@@ -214,3 +214,40 @@
 		require.LessOrEqual(t, float64(f.messages)/float64(n)/10, 16.0, "%d instances", n)
 	}
 }
+
+// Guards against an instance that lacks members of its own zone, and against zones that
+// disagree about the relays or the watcher because they know only a few instances of each
+// other; after a start of all, after all were killed, and after a zone was cut off.
+func TestInstancesKnowTheirZoneAndTheRelaysOfOthers(t *testing.T) {
+	const n, zones = 72, 6
+	f := newRunningFleet(t, n, zones)
+	check := func(when string) {
+		watchers := 0
+		for i, m := range f.nodes {
+			require.Equal(t, n/zones, m.peers.members.LiveCountIn(m.zone), "%s: instance %d", when, i)
+			require.LessOrEqual(t, m.peers.members.LiveCount(), n/zones+(zones-1)*contactsPerZone, "%s: instance %d", when, i)
+			for _, relay := range m.peers.members.Relays(dutyKey) {
+				require.True(t, f.nodes[f.byAddr[relay.PeerAddress]].isRelay(), "%s: instance %d takes %s for a relay", when, i, relay.ID)
+			}
+			if m.isWatcher() {
+				watchers++
+			}
+		}
+		require.Equal(t, 1, watchers, when)
+	}
+	check("start")
+	for i := range n {
+		f.kill(i)
+	}
+	f.run(time.Second)
+	for i := range n {
+		f.start(i, zones)
+	}
+	f.run(6 * time.Second)
+	check("all killed")
+	f.blocked = func(from, to int) bool { return from%zones != to%zones && (from%zones == 2 || to%zones == 2) }
+	f.run(8 * time.Second)
+	f.blocked = nil
+	f.run(6 * time.Second)
+	check("zone cut off")
+}
--- a/internal/control/registry/zones.go
+++ b/internal/control/registry/zones.go
@@ -34,7 +34,8 @@
 	zoneUnreachableAfter = 2200 * time.Millisecond
 )
 
-// otherZoneProbes is the number of instances of other zones that are probed in a round.
+// otherZoneProbes is the number of instances of other zones that are probed in a round after
+// the first one.
 const otherZoneProbes = 3
 
 // isHome reports whether this instance is the only one that may send new flows to a cold
@@ -130,7 +131,12 @@
 	} else {
 		p.otherZoneProbeAt = m.now.Add(interval)
 		m.scheduleWake(p.otherZoneProbeAt)
-		for range otherZoneProbes {
+		// A gap between two messages is common, so the first round is a single probe.
+		probes := otherZoneProbes
+		if p.suspectedZoneAt == 0 && m.now.Sub(last) < otherZoneProbeAfter+otherZoneProbeInterval {
+			probes = 1
+		}
+		for range probes {
 			if to, ok := p.table.RandomInOtherZone(); ok {
 				m.call(to, m.newMessage(peer.Probe, to.ID), answerTimeout, nil)
 			}
--- a/internal/core/member/member.go
+++ b/internal/core/member/member.go
@@ -93,6 +93,7 @@
 	newSuspects      []model.Member     // suspects to probe, see TakeSuspects
 	listedIDs        []model.InstanceID // IDs in the platform's latest list and that of self, sorted
 	deadRetention    time.Duration      // how long dead unlisted members are kept
+	contacts         contactLimit       // limits the members of other zones
 }
 
 // New returns a table that contains only the instance itself.
@@ -235,6 +236,9 @@
 	}
 	p, ok := t.peers[m.ID]
 	if !ok {
+		if !t.admit(&m) {
+			return
+		}
 		p = t.addPeer(now, m)
 		t.enqueue(m.ID)
 	}
--- a/internal/core/member/probe.go
+++ b/internal/core/member/probe.go
@@ -25,6 +25,7 @@
 			toCheck = append(toCheck, id)
 		}
 	}
+	t.maintainContacts()
 	targets := t.appendCyclic(nil, t.ownZone, &t.nextInOwnZone, ZoneProbes)
 	targets = t.appendCyclic(targets, t.otherZones, &t.nextInOtherZones, OtherZoneProbes)
 	if m, ok := t.RandomNotDead(nil); ok {
--- a/internal/core/member/updates.go
+++ b/internal/core/member/updates.go
@@ -19,7 +19,7 @@
 		p, ok := t.peers[m.ID]
 		switch {
 		case !ok:
-			if m.Liveness != model.Dead && m.PeerAddress.IsValid() && m.Zone != "" {
+			if m.Liveness != model.Dead && m.PeerAddress.IsValid() && m.Zone != "" && t.admit(&m) {
 				t.addPeer(now, m)
 				t.enqueue(m.ID)
 			}
@@ -101,17 +101,30 @@
 func (t *Table) transmitLimit() int { return 2*bits.Len(uint(t.Len())) + 2 }
 
 // Updates returns the updates to send in a message to the given member: first the
-// suspicion of that member, if any, then the updates that were sent least often.
+// suspicion of that member, if any, then those of the updates that it needs to know that
+// were sent least often.
 func (t *Table) Updates(to model.InstanceID) []Update {
+	if len(t.queue) == 0 && !t.Suspected(to) {
+		return nil
+	}
+	var zone model.Zone
+	if p, ok := t.peers[to]; ok {
+		zone = p.member.Zone
+	}
+	relevance := t.relevanceFor(zone)
 	var out []Update
 	if t.Suspected(to) {
 		out = append(out, t.updateOf(to))
 	}
 	slices.SortStableFunc(t.queue, func(a, b queuedUpdate) int { return a.sent - b.sent })
 	for i := 0; i < len(t.queue) && len(out) < MaxUpdates; i++ {
+		id := t.queue[i].id
+		if m, ok := t.Get(id); ok && !relevance.includes(&m) {
+			continue
+		}
 		t.queue[i].sent++
-		if t.queue[i].id != to {
-			out = append(out, t.updateOf(t.queue[i].id))
+		if id != to {
+			out = append(out, t.updateOf(id))
 		}
 	}
 	limit := t.transmitLimit()
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -166,20 +166,30 @@
 
 func (m *Members) largest(key uint64, indexes iter.Seq[int]) *model.Member {
 	var best *model.Member
-	bestScore := uint64(0)
+	bestRank := uint64(0)
 	for i := range indexes {
 		x := &m.all[i]
 		if x.Liveness != model.Live {
 			continue
 		}
-		score := Mix(key, m.seeds[i])
-		if best == nil || x.Capacity > best.Capacity || x.Capacity == best.Capacity && score > bestScore {
-			best, bestScore = x, score
+		if r := rank(x.Capacity, key, m.seeds[i]); best == nil || r > bestRank {
+			best, bestRank = x, r
 		}
 	}
 	return best
 }
 
+// Rank orders instances for the tasks that some of them do for others: by capacity, and
+// among equal capacities by the score for the key. The instance with the highest rank of a
+// zone is the result of LargestIn.
+func Rank(m *model.Member, key uint64) uint64 {
+	return rank(m.Capacity, key, HashString(string(m.ID)))
+}
+
+func rank(capacity uint32, key, seed uint64) uint64 {
+	return uint64(capacity)<<32 | Mix(key, seed)>>32
+}
+
 // Relays returns the result of LargestIn for each zone, in no particular order. Zones
 // without a live instance are left out.
 func (m *Members) Relays(key uint64) []*model.Member {
