steering, registry: flows of lost servers are reset at once, unknown tokens are looked up

Cause, two parts. (1) A caller that waits for a response sends no packets, so a flow whose server was found to be lost was reset only with the caller's next packet, often after its deadline. (2) Traffic reports unknown tokens; control asks an instance of its zone and two of other zones, which name the unlisted server or say that it has ended. A server that no instance knows counts as ended once a view that was confirmed after the packet lacks it and expired entries have been restored.

--- a/internal/adapter/peerudp/codec.go
+++ b/internal/adapter/peerudp/codec.go
@@ -17,7 +17,7 @@
 
 // formatVersion is the version of the message format, the first field of each message.
 // Messages with another version are rejected.
-const formatVersion = 2
+const formatVersion = 3
 
 // wireMessage is the encoding of peer.Message. The wire types are encoded as CBOR
 // arrays, so the order of their fields is part of the format.
@@ -40,6 +40,7 @@
 	Part               int
 	Parts              int
 	UnreachableServers []wireServerRun
+	Tokens             []steering.Token
 }
 
 type wireServerRun struct {
@@ -135,7 +136,8 @@
 func encode(m *peer.Message) ([]byte, error) {
 	w := wireMessage{Version: formatVersion, Kind: uint8(m.Kind), CallID: m.CallID, From: newWireMember(&m.From), Join: m.Join,
 		Target: addressBytes(m.Target), Revision: m.Revision, Confirmed: m.Confirmed,
-		AgeMs: uint32(max(0, m.Age.Milliseconds())), CutOff: m.CutOff, AfterRevision: m.AfterRevision, Compacted: m.Compacted, Part: m.Part, Parts: m.Parts}
+		AgeMs: uint32(max(0, m.Age.Milliseconds())), CutOff: m.CutOff, AfterRevision: m.AfterRevision, Compacted: m.Compacted, Part: m.Part, Parts: m.Parts,
+		Tokens: m.Tokens}
 	for i := range m.Updates {
 		w.Updates = append(w.Updates, newWireMember(&m.Updates[i].Member))
 	}
@@ -206,7 +208,8 @@
 		return nil, merry.Wrap(port.ErrMalformed, merry.AppendMessagef("message with version %d and kind %d", w.Version, w.Kind))
 	}
 	m := &peer.Message{Kind: peer.Kind(w.Kind), CallID: w.CallID, Join: w.Join, Revision: w.Revision, Confirmed: w.Confirmed,
-		Age: time.Duration(w.AgeMs) * time.Millisecond, CutOff: w.CutOff, AfterRevision: w.AfterRevision, Compacted: w.Compacted, Part: w.Part, Parts: w.Parts}
+		Age: time.Duration(w.AgeMs) * time.Millisecond, CutOff: w.CutOff, AfterRevision: w.AfterRevision, Compacted: w.Compacted, Part: w.Part, Parts: w.Parts,
+		Tokens: w.Tokens}
 	var err error
 	if m.From, err = w.From.member(); err == nil {
 		m.Target, err = parseAddress(w.Target)
--- a/internal/app/steer/instance.go
+++ b/internal/app/steer/instance.go
@@ -112,7 +112,7 @@
 		_ = socket.Close() // the listener's error is returned
 		return nil, merry.Prepend(err, "listen.readiness")
 	}
-	i.worker = packets.New(packets.Options{Socket: socket, Codec: p.Codec(s), Snapshots: i.control, Suspects: i.control, Clock: i.clock,
+	i.worker = packets.New(packets.Options{Socket: socket, Codec: p.Codec(s), Snapshots: i.control, Faults: i.control, Clock: i.clock,
 		Recorder: i.recorder, Log: logs.Part("flow"),
 		Steerer: steering.NewSteerer(rand.New(rand.NewPCG(seed, 1)), s.Bounds.ColdMargin)})
 	i.readinessServer = readiness.NewServer(i.Ready)
--- a/internal/control/registry/control.go
+++ b/internal/control/registry/control.go
@@ -86,12 +86,16 @@
 // Snapshot returns the latest snapshot, or nil before the first one.
 func (c *Control) Snapshot() *steering.Snapshot { return c.snapshot.Load() }
 
-// Suspect implements port.SuspectSink. If the queue is full, the report is dropped; the
-// next flow to the server that gets no answer causes another one.
+// Suspect implements port.FaultSink. If the queue is full, the report is dropped; the next
+// flow to the server that gets no answer causes another one.
 func (c *Control) Suspect(server *steering.Server) {
 	c.tryPost(evSuspect{server.ID, server.Started})
 }
 
+// UnknownToken implements port.FaultSink. A dropped report is repeated with the caller's
+// next packet.
+func (c *Control) UnknownToken(token steering.Token) { c.tryPost(evUnknownToken{token}) }
+
 // Receive queues a message from another instance. If the queue is full, the message is
 // dropped, as if the network had lost it.
 func (c *Control) Receive(m *peer.Message) { c.tryPost(evMessage{m}) }
--- a/internal/control/registry/events.go
+++ b/internal/control/registry/events.go
@@ -8,6 +8,7 @@
 	"github.com/savorytiller/savorytiller/internal/core/catalog"
 	"github.com/savorytiller/savorytiller/internal/core/model"
 	"github.com/savorytiller/savorytiller/internal/core/peer"
+	"github.com/savorytiller/savorytiller/internal/core/steering"
 	"github.com/savorytiller/savorytiller/internal/port"
 )
 
@@ -34,6 +35,9 @@
 	started int64
 }
 
+// evUnknownToken is a token in packets of a flow that no known server has.
+type evUnknownToken struct{ token steering.Token }
+
 // evMessage is a message from another instance.
 type evMessage struct{ message *peer.Message }
 
--- a/internal/control/registry/machine.go
+++ b/internal/control/registry/machine.go
@@ -114,6 +114,8 @@
 	// to other instances that were answered in time.
 	lastAnsweredCallAt model.Time
 	counts             Counts
+	lookups            lookups
+	flowLifetime       time.Duration
 }
 
 // Counts holds the numbers of calls and events since the start. Failures counts failed
@@ -125,7 +127,7 @@
 func newMachine(o Options) *machine {
 	random := rand.New(rand.NewPCG(o.Seed, o.Seed^0x9e3779b97f4a7c15))
 	m := &machine{zone: o.Self.Zone, random: random, log: o.Log, catalog: catalog.New(o.Catalog),
-		timing: timingFor(o.ConfigBound)}
+		timing: timingFor(o.ConfigBound), lookups: newLookups(), flowLifetime: o.Catalog.Lifetime}
 	m.peers = peers{seeds: o.Seeds, table: member.New(o.Self, random), calls: map[uint32]*pendingCall{}, partials: map[model.InstanceID]*partialChanges{}, unresponsiveSince: map[model.Zone]model.Time{}, reportedAt: map[model.ServerID]model.Time{},
 		lastMessageAt: map[model.Zone]model.Time{}}
 	m.peers.setMembers([]model.Member{o.Self})
@@ -151,6 +153,8 @@
 		m.peers.seeds = e.seeds
 	case evLeave:
 		m.peers.table.Leave()
+	case evUnknownToken:
+		m.unknownToken(e.token)
 	case evSuspect:
 		m.catalog.MarkSuspect(e.server, e.started)
 	case evProbed:
@@ -170,9 +174,11 @@
 	if !m.now.Before(m.expireAt) {
 		m.catalog.Expire(m.now)
 		m.expireReports()
+		m.lookups.expire(m.now, m.flowLifetime)
 		m.expireAt = m.now.Add(time.Second)
 	}
 	m.publish()
+	m.lookUpTokens()
 }
 
 // scheduleWake schedules a wake-up at the given time unless an earlier one is scheduled.
@@ -258,6 +264,7 @@
 	m.sequence++
 	s := m.builtSnapshot
 	s.Sequence, s.ConfirmedAt, s.CutOff = m.sequence, m.confirmedAt, m.peers.cutOff
+	s.EndedTokens = m.lookups.endedTokens()
 	s.FreshFor, s.UnresponsiveSince = m.timing.staleAfter, m.unresponsiveZones()
 	m.snapshot = &s
 }
--- a/internal/control/registry/peers.go
+++ b/internal/control/registry/peers.go
@@ -381,6 +381,10 @@
 		m.receiveChanges(message)
 	case peer.Pull:
 		m.answerPull(message)
+	case peer.Lookup:
+		m.answerLookup(message)
+	case peer.LookupAnswer:
+		m.receiveLookupAnswer(message)
 	}
 	m.receiveReport(message)
 	m.compareRevision(message)
--- a/internal/core/catalog/catalog.go
+++ b/internal/core/catalog/catalog.go
@@ -49,6 +49,9 @@
 	unlistedAt model.Time
 	// replaced is set if a later run of the same server is listed.
 	replaced bool
+	// learned is set if this instance never saw the run listed and knows it from another
+	// instance. It gets no new flows.
+	learned bool
 	// probeResult is the result of the last probe, which was sent at probeSentAt.
 	probeResult ProbeResult
 	probeSentAt model.Time
@@ -177,7 +180,7 @@
 		// overrides a closed port.
 		s.probeResult, s.probeSentAt = ProbeUnknown, 0
 	}
-	s.entry, s.unlistedAt = *e, 0
+	s.entry, s.unlistedAt, s.learned = *e, 0, false
 	s.coldUntil = 0
 	if e.ColdFor > 0 {
 		s.coldUntil = now.Add(e.ColdFor)
--- a/internal/core/catalog/snapshot.go
+++ b/internal/core/catalog/snapshot.go
@@ -109,8 +109,8 @@
 	if s.replaced || s.probeResult == Ended {
 		return true
 	}
-	if s.unlistedAt == 0 {
-		return false
+	if s.unlistedAt == 0 || s.learned {
+		return s.learned
 	}
 	at, ok := b.catalog.graceEndsAt(s)
 	if ok {
--- a/internal/core/peer/cause.go
+++ b/internal/core/peer/cause.go
@@ -18,13 +18,15 @@
 	CauseListing
 	// CausePull covers requests for changes or listings.
 	CausePull
+	// CauseLookup covers questions about the servers of flows and their answers.
+	CauseLookup
 	// Causes is the number of causes.
 	Causes
 )
 
 // String returns the name used in metrics and logs.
 func (c Cause) String() string {
-	return [...]string{"probe", "join", "confirmation", "report", "changes", "listing", "pull"}[c]
+	return [...]string{"probe", "join", "confirmation", "report", "changes", "listing", "pull", "lookup"}[c]
 }
 
 // Cause returns why the message was sent.
@@ -36,6 +38,8 @@
 		return CauseChanges
 	case m.Kind == Pull:
 		return CausePull
+	case m.Kind == Lookup || m.Kind == LookupAnswer:
+		return CauseLookup
 	case len(m.UnreachableServers) > 0:
 		return CauseReport
 	case m.Join:
--- a/internal/core/peer/message.go
+++ b/internal/core/peer/message.go
@@ -9,6 +9,7 @@
 	"github.com/savorytiller/savorytiller/internal/core/catalog"
 	"github.com/savorytiller/savorytiller/internal/core/member"
 	"github.com/savorytiller/savorytiller/internal/core/model"
+	"github.com/savorytiller/savorytiller/internal/core/steering"
 )
 
 // Kind is the purpose of a message. Every message also carries membership updates and the
@@ -29,6 +30,10 @@
 	Changes
 	// Pull requests the changes after AfterRevision.
 	Pull
+	// Lookup asks which servers have Tokens. LookupAnswer carries the unlisted servers among
+	// them as Entries, and as Tokens those whose server has ended.
+	Lookup
+	LookupAnswer
 	kindEnd
 )
 
@@ -72,6 +77,8 @@
 	// AfterRevision and Revision. They are valid only for a catalog at exactly
 	// AfterRevision.
 	Compacted bool
+	// Tokens is set in Lookup and LookupAnswer.
+	Tokens []steering.Token
 	// Parts is the number of messages that carry the entries, and Part the index of this
 	// one.
 	Part, Parts int
--- a/internal/core/steering/flows.go
+++ b/internal/core/steering/flows.go
@@ -184,6 +184,7 @@
 		return
 	}
 	s.nextSweepAt = now.Add(sweepInterval)
+	s.expireUnknownTokens(now)
 	for key, f := range s.flows {
 		idle := now.Sub(f.lastPacketAt)
 		switch {
--- a/internal/core/steering/health.go
+++ b/internal/core/steering/health.go
@@ -43,11 +43,13 @@
 	// coldFlows counts the new flows since coldWindowStart while the server is cold.
 	coldFlows       int
 	coldWindowStart model.Time
+	// flowsReset is set once the flows of a server that cannot continue them were reset.
+	flowsReset bool
 }
 
 // recordResponse marks the server as healthy after a response.
 func (t *target) recordResponse(now model.Time) {
-	t.lastResponseAt, t.consecutiveTimeouts, t.trialAt, t.trialDelay = now, 0, 0, 0
+	t.lastResponseAt, t.consecutiveTimeouts, t.trialAt, t.trialDelay, t.flowsReset = now, 0, 0, 0, false
 }
 
 // recordTimeout records that a packet sent at sentAt got no response in time. If the
--- /dev/null
+++ b/internal/core/steering/lost.go
@@ -0,0 +1,99 @@
+package steering
+
+import (
+	"time"
+
+	"github.com/savorytiller/savorytiller/internal/core/model"
+)
+
+// Limits of the handling of flows whose server is lost.
+const (
+	// unknownTokenInterval is the least time between two reports of the same unknown token.
+	// Callers retransmit after 200 ms.
+	unknownTokenInterval = 200 * time.Millisecond
+	// maxUnknownTokens limits the unknown tokens whose reports are remembered, since callers
+	// can send any token.
+	maxUnknownTokens = 4096
+)
+
+// lostFlows holds what is to be done about flows whose server cannot continue them or is not
+// known.
+type lostFlows struct {
+	// resets are flows to reset although they sent no packet: a caller that waits for a
+	// response would otherwise notice the loss of its server only at its own deadline, and
+	// one that is idle only with its next request.
+	resets []Packet
+	// reportedAt is when each unknown token was last reported. reports are the tokens to
+	// report.
+	reportedAt map[Token]model.Time
+	reports    []Token
+}
+
+func newLostFlows() lostFlows { return lostFlows{reportedAt: map[Token]model.Time{}} }
+
+// queueResets queues resets of the open idempotent flows of the targets with flowsReset set,
+// unless no other server could take the flow, and removes the records of these flows.
+func (s *Steerer) queueResets() {
+	for key, f := range s.flows {
+		if !f.target.flowsReset || f.stage != open {
+			continue
+		}
+		route := s.snapshot.Routes[key.Route]
+		if route == nil || !route.Idempotent || !f.target.server.Ended && !s.hasAlternative(f.target) {
+			continue
+		}
+		s.lost.resets = append(s.lost.resets, Packet{Key: key, Acknowledged: f.acknowledged, Token: f.target.server.Token})
+		s.removeRecord(key, f)
+	}
+}
+
+// TakeReset removes a flow from the queue of flows to reset. The packet has the key of the
+// flow and the caller's last acknowledgment. ok is false if the queue is empty.
+func (s *Steerer) TakeReset() (p Packet, ok bool) {
+	n := len(s.lost.resets)
+	if n == 0 {
+		return Packet{}, false
+	}
+	p = s.lost.resets[n-1]
+	s.lost.resets = s.lost.resets[:n-1]
+	return p, true
+}
+
+// decideUnknownToken returns the decision about a packet whose token no known server has. The
+// flow is reset if its server is known to have ended. Otherwise the token is reported, and
+// the packet is dropped: another instance may know the server, and the caller retransmits.
+func (s *Steerer) decideUnknownToken(p *Packet, f *flow, now model.Time) Decision {
+	if s.snapshot.EndedTokens[p.Token] && p.Flags&RST == 0 {
+		if f != nil {
+			s.removeRecord(p.Key, f)
+		}
+		return Decision{Action: Reset, Reason: model.ReasonServerRemoved}
+	}
+	last, reported := s.lost.reportedAt[p.Token]
+	if p.Token != 0 && (!reported && len(s.lost.reportedAt) < maxUnknownTokens || reported && now.Sub(last) >= unknownTokenInterval) {
+		s.lost.reportedAt[p.Token] = now
+		s.lost.reports = append(s.lost.reports, p.Token)
+	}
+	return Decision{Reason: model.ReasonUnknownToken}
+}
+
+// TakeUnknownToken removes a token from the queue of unknown tokens to report and returns it,
+// or 0 if the queue is empty.
+func (s *Steerer) TakeUnknownToken() Token {
+	n := len(s.lost.reports)
+	if n == 0 {
+		return 0
+	}
+	token := s.lost.reports[n-1]
+	s.lost.reports = s.lost.reports[:n-1]
+	return token
+}
+
+// expireUnknownTokens forgets the tokens that were not reported recently.
+func (s *Steerer) expireUnknownTokens(now model.Time) {
+	for token, at := range s.lost.reportedAt {
+		if now.Sub(at) > 2*unknownTokenInterval {
+			delete(s.lost.reportedAt, token)
+		}
+	}
+}
--- /dev/null
+++ b/internal/core/steering/lost_test.go
@@ -0,0 +1,98 @@
+package steering
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/savorytiller/savorytiller/internal/core/model"
+)
+
+// takeResets returns the caller ports of the flows to reset.
+func (r *rig) takeResets() map[uint16]Packet {
+	resets := map[uint16]Packet{}
+	for {
+		p, ok := r.steerer.TakeReset()
+		if !ok {
+			return resets
+		}
+		resets[p.Key.Caller.Port] = p
+	}
+}
+
+// Guards against callers that wait until their deadline for a server that was lost: a caller
+// that waits for a response sends no packets, so a reset must not depend on one.
+func TestLostServerResetsItsIdempotentFlowsWithoutAPacket(t *testing.T) {
+	for _, lost := range []string{"unreachable", "ended", "unreachable, and so are all others"} {
+		r := newRig(t)
+		byServer := map[model.ServerID][]uint16{}
+		for caller := uint16(1); caller <= 12; caller++ {
+			id := r.openFlow(caller, routeA).ID
+			byServer[id] = append(byServer[id], caller)
+		}
+		r.openFlow(90, routeB)
+		a, b := servers("a", "z", 3), servers("b", "z", 2)
+		r.now += 100 * millisecond
+		for i := range a {
+			if i == 0 || lost == "unreachable, and so are all others" {
+				a[i].ProbeResult, a[i].ProbeSentAt = Unreachable, r.now
+			}
+		}
+		a[0].Ended = lost == "ended"
+		for i := range b {
+			b[i].ProbeResult, b[i].ProbeSentAt = Unreachable, r.now
+		}
+		r.publish(a, b)
+		r.now += 300 * millisecond
+		r.syn(99, routeA, 0) // any packet
+		resets := r.takeResets()
+		if lost == "unreachable, and so are all others" {
+			require.Empty(t, resets, "this instance is probably cut off itself")
+			continue
+		}
+		require.Len(t, resets, len(byServer[a[0].ID]), lost)
+		for _, caller := range byServer[a[0].ID] {
+			require.EqualValues(t, 500, resets[caller].Acknowledged, lost)
+		}
+		r.publish(a, b)
+		r.syn(98, routeA, 0)
+		require.Empty(t, r.takeResets(), "each flow is reset once")
+	}
+}
+
+// Guards against packets of ended servers that are dropped until the callers give up, and
+// against a report for each packet with an unknown token.
+func TestUnknownTokensAreReportedAndResetOnceTheServerHasEnded(t *testing.T) {
+	r := newRig(t)
+	const token = Token(4711)
+	reports := 0
+	for range 10 {
+		require.Equal(t, Drop, r.data(1, routeA, token, 101, 500).Action)
+		for r.steerer.TakeUnknownToken() == token {
+			reports++
+		}
+		r.now += 50 * millisecond
+	}
+	require.Equal(t, 3, reports, "one every 200 ms")
+	r.publish(servers("a", "z", 3), servers("b", "z", 2))
+	r.snapshot.EndedTokens = map[Token]bool{token: true}
+	require.Equal(t, Reset, r.data(1, routeA, token, 101, 500).Action)
+	require.Equal(t, Drop, r.data(1, routeA, token+1, 101, 500).Action)
+	require.Equal(t, Drop, r.data(1, routeA, 0, 101, 500).Action)
+}
+
+// Guards against memory that grows with forged tokens.
+func TestUnknownTokensAreLimited(t *testing.T) {
+	s := NewSteerer(rand.New(rand.NewPCG(1, 2)), 5)
+	r := newRig(t)
+	r.steerer = s
+	for i := range 3 * maxUnknownTokens {
+		r.data(1, routeA, Token(i+1), 101, 500)
+	}
+	require.LessOrEqual(t, len(s.lost.reportedAt), maxUnknownTokens)
+	r.now = r.now.Add(2 * time.Second)
+	r.data(1, routeA, 0, 101, 500)
+	require.Empty(t, s.lost.reportedAt)
+}
--- a/internal/core/steering/steerer.go
+++ b/internal/core/steering/steerer.go
@@ -57,13 +57,14 @@
 	lastPacketAt model.Time
 	suspects     []*target // targets for which a probe is requested
 	nextSweepAt  model.Time
+	lost         lostFlows
 }
 
 // NewSteerer returns a Steerer without flows. coldMargin is the number of new flows per
 // second that a cold server can take in addition to its service's ColdPerSecond.
 func NewSteerer(random *rand.Rand, coldMargin float64) *Steerer {
 	return &Steerer{coldMargin: coldMargin, random: random, flows: map[FlowKey]*flow{}, targets: map[Token]*target{},
-		loads: map[string]*serviceLoad{}}
+		loads: map[string]*serviceLoad{}, lost: newLostFlows()}
 }
 
 // Flows returns the number of flow records.
@@ -91,9 +92,13 @@
 		return
 	}
 	s.snapshot = snapshot
+	failed := false
 	for token, t := range s.targets {
 		if server := snapshot.Servers.Find(token); server != nil {
 			t.update(server)
+			if t.flows > 0 && !t.flowsReset && (server.Ended || t.unreachable()) {
+				t.flowsReset, failed = true, true
+			}
 			if since := snapshot.UnresponsiveSince[server.Zone]; since != 0 && t.flows > 0 && server.ProbeSentAt.Before(since) && t.lastResponseAt.Before(since) {
 				// Without a probe, each flow would notice an outage only by its own timeout.
 				s.requestProbeThrottled(t, now)
@@ -102,6 +107,9 @@
 			delete(s.targets, token)
 		}
 	}
+	if failed {
+		s.queueResets()
+	}
 }
 
 // TakeSuspect removes a server from the queue of servers to probe and returns it, or
@@ -226,7 +234,7 @@
 		}
 	}
 	if t == nil {
-		return Decision{Reason: model.ReasonUnknownToken}
+		return s.decideUnknownToken(p, f, now)
 	}
 	route := s.snapshot.Routes[p.Key.Route]
 	if route == nil && s.snapshot.fresh(now) {
--- a/internal/core/steering/token.go
+++ b/internal/core/steering/token.go
@@ -65,6 +65,9 @@
 	return t.byToken[token]
 }
 
+// Ambiguous reports whether several servers share the token.
+func (t *TokenIndex) Ambiguous(token Token) bool { return t != nil && t.ambiguous[token] }
+
 // Sorted returns the servers in the order of their IDs and start times.
 func (t *TokenIndex) Sorted() []*Server {
 	seen := make(map[*Server]bool, len(t.byToken))
--- a/internal/core/steering/types.go
+++ b/internal/core/steering/types.go
@@ -195,6 +195,9 @@
 	// removed or never added. It is shorter than the time within which a new
 	// configuration must be in force.
 	FreshFor time.Duration
+	// EndedTokens holds tokens of servers that are not in Servers because they ended before
+	// this instance knew them. Their flows are reset.
+	EndedTokens map[Token]bool
 	// IdleTimeout and Lifetime limit the idle time and the total duration of flows.
 	IdleTimeout, Lifetime time.Duration
 }
--- a/internal/port/steering.go
+++ b/internal/port/steering.go
@@ -11,10 +11,12 @@
 	Snapshot() *steering.Snapshot
 }
 
-// SuspectSink receives the servers that did not answer the packets of a flow. It
-// never blocks.
-type SuspectSink interface {
+// FaultSink receives what the packets of flows show about servers. It never blocks.
+type FaultSink interface {
+	// Suspect reports a server that did not answer.
 	Suspect(server *steering.Server)
+	// UnknownToken reports a token that no known server has.
+	UnknownToken(token steering.Token)
 }
 
 // PacketSocket sends and receives datagrams. Receive blocks. One goroutine at a
--- a/internal/traffic/packets/worker.go
+++ b/internal/traffic/packets/worker.go
@@ -27,12 +27,16 @@
 // whole. Longer datagrams are malformed in any case.
 const bufferSize = 2048
 
+// maxResetsPerPacket limits the flows that are reset after each processed packet because
+// their server is lost.
+const maxResetsPerPacket = 32
+
 // Options configure a Worker. All are required.
 type Options struct {
 	Socket    port.PacketSocket
 	Codec     port.PacketCodec
 	Snapshots port.SnapshotReader
-	Suspects  port.SuspectSink
+	Faults    port.FaultSink
 	Clock     port.Clock
 	Recorder  port.Recorder
 	Log       logr.Logger
@@ -105,9 +109,31 @@
 	w.flows.Store(int64(o.Steerer.Flows()))
 	w.observe(&decision)
 	for suspect := o.Steerer.TakeSuspect(); suspect != nil; suspect = o.Steerer.TakeSuspect() {
-		o.Suspects.Suspect(suspect)
+		o.Faults.Suspect(suspect)
+	}
+	for token := o.Steerer.TakeUnknownToken(); token != 0; token = o.Steerer.TakeUnknownToken() {
+		o.Faults.UnknownToken(token)
 	}
 	w.log(&decision, snapshot, now)
+	w.resetLostFlows(snapshot, now)
+}
+
+// resetLostFlows resets flows whose server cannot continue them, at most maxResetsPerPacket
+// so that packets don't wait for long.
+func (w *Worker) resetLostFlows(snapshot *steering.Snapshot, now model.Time) {
+	o := &w.options
+	for range maxResetsPerPacket {
+		p, ok := o.Steerer.TakeReset()
+		if !ok {
+			return
+		}
+		w.packet = p
+		decision := steering.Decision{Action: steering.Reset, Reason: model.ReasonServerFailed, Server: snapshot.Servers.Find(p.Token)}
+		o.Recorder.Count(partReset, decision.Reason)
+		datagram, caller := o.Codec.Reset(w.reset[:], &p)
+		w.send(caller, datagram)
+		w.log(&decision, snapshot, now)
+	}
 }
 
 // observe records the handshake or response time that a packet completes.
