control/registry: changes and confirmations spread down a tree in each zone

An instance that started also pulled a complete listing from another one as soon as it heard of one, beside the listing from the registry that was already on the way. Change: the instances of a zone form a tree of fan-out 6 in the order of their links; each forwards the changes that it has just applied, and confirmations of its parent. Changes that reach an instance of another zone that is not the relay go to the relay. A pull waits while changes keep arriving. A listing is pulled after 250 ms, preferably from the own zone. Measured: registry's fleet tests; 120 instances in 3 zones, at most 8 messages an instance for a change, none pulled.

--- a/internal/control/registry/changes.go
+++ b/internal/control/registry/changes.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/savorytiller/savorytiller/internal/core/catalog"
@@ -11,8 +12,8 @@
 
 // compareRevision compares the revision of the sender with that of this instance. If they
 // are equal, it adopts a newer confirmation of the sender. If that arrived in a Gossip
-// message from another zone, the relay also announces it to its own zone. If the sender's
-// revision is newer, compareRevision schedules a pull.
+// message down the tree of the zone, or at the relay from another zone, this instance
+// forwards it. If the sender's revision is newer, compareRevision schedules a pull.
 func (m *machine) compareRevision(message *peer.Message) {
 	if message.Revision == 0 {
 		return
@@ -21,8 +22,10 @@
 	case m.feed.listed && message.Revision == m.feed.revision:
 		if at := m.now.Add(-message.Age - transitTime); message.Confirmed && at.After(m.confirmedAt) {
 			m.confirm(at)
-			if message.Kind == peer.Gossip && m.forwardsToZone(message) {
-				m.broadcast(nil, false)
+			if message.Kind == peer.Gossip && (m.forwardsToZone(message) || m.peers.tree.isParent(message.From.ID)) {
+				for _, to := range m.peers.tree.children() {
+					m.sendConfirmation(to)
+				}
 			}
 		}
 	case !m.feed.listed && m.registryReachable, m.feed.listed && message.Revision < m.feed.revision:
@@ -34,11 +37,15 @@
 
 // schedulePull records that another instance has a newer revision, and schedules a pull
 // after a delay in which the changes may arrive without one. If the catalog is not
-// complete, the pull is due immediately.
+// complete, a listing is pulled, preferably from the own zone, unless the registry answers
+// within listingPatience of the start.
 func (m *machine) schedulePull(from model.Member, revision uint64, after time.Duration) {
 	p := &m.peers
 	if !m.feed.listed {
-		after = 0
+		after = max(0, listingPatience-m.now.Sub(p.started))
+		if p.newestRevision != 0 && p.newestFrom.Zone == m.zone && from.Zone != m.zone {
+			return
+		}
 	}
 	if at := m.now.Add(after); p.newestRevision == 0 || at.Before(p.pullAt) {
 		p.pullAt = at
@@ -146,8 +153,8 @@
 	if !m.advance(entries, message.Revision, message.Compacted) {
 		// Some of the entries were applied, so the catalog matches no single revision.
 		m.relist()
-	} else if m.forwardsToZone(message) {
-		m.broadcast(newChangeSet(after, message.Compacted, entries), false)
+	} else {
+		m.forward(&message.From, newChangeSet(after, message.Compacted, entries))
 	}
 }
 
@@ -183,35 +190,53 @@
 	return message.From.Zone != m.zone && m.isRelay()
 }
 
-// broadcast sends changes to the other instances of the zone and, with otherZones set, to
-// the relays of the other zones. Without changes it sends a Gossip message, which
-// announces the revision and its confirmation.
+// forward sends changes that this instance has just applied down the tree of the zone. Changes
+// from another zone go to the relay first, in case the sender took this instance for it.
+func (m *machine) forward(from *model.Member, changes *changeSet) {
+	if from.Zone != m.zone && !m.isRelay() {
+		if relay := m.peers.members.LargestIn(m.zone, dutyKey); relay != nil {
+			m.sendChanges(*relay, changes)
+		}
+		return
+	}
+	for _, to := range m.peers.tree.children() {
+		if to.ID != from.ID {
+			m.sendChanges(to, changes)
+		}
+	}
+}
+
+// broadcast starts to spread changes in the zone and, with otherZones set, sends them to the
+// relays of the other zones. Without changes it announces the revision and its
+// confirmation. An instance that is not the relay announces it to the whole zone.
 func (m *machine) broadcast(changes *changeSet, otherZones bool) {
-	for _, to := range m.broadcastTargets(otherZones) {
+	recipients := m.peers.tree.children()
+	if !m.isRelay() {
+		recipients = m.peers.tree.others()
+	}
+	if otherZones {
+		recipients = slices.Concat(recipients, m.otherRelays())
+	}
+	for _, to := range recipients {
 		if changes != nil {
 			m.sendChanges(to, changes)
 		} else {
-			m.send(to, m.newMessage(peer.Gossip, to.ID))
+			m.sendConfirmation(to)
 		}
 	}
 }
 
-// broadcastTargets returns the other instances of the zone and, with otherZones set, the
-// relays of the other zones.
-func (m *machine) broadcastTargets(otherZones bool) (recipients []model.Member) {
-	p := &m.peers
-	self := p.table.Self().ID
-	for _, to := range p.members.All() {
-		if to.Zone == m.zone && to.ID != self {
-			recipients = append(recipients, to)
-		}
-	}
-	if otherZones {
-		for _, relay := range p.members.Relays(dutyKey) {
-			if relay.Zone != m.zone {
-				recipients = append(recipients, *relay)
-			}
+// sendConfirmation announces the revision of this instance and its confirmation.
+func (m *machine) sendConfirmation(to model.Member) {
+	m.send(to, m.newMessage(peer.Gossip, to.ID))
+}
+
+// otherRelays returns the relays of the other zones.
+func (m *machine) otherRelays() (relays []model.Member) {
+	for _, relay := range m.peers.members.Relays(dutyKey) {
+		if relay.Zone != m.zone {
+			relays = append(relays, *relay)
 		}
 	}
-	return recipients
+	return relays
 }
--- a/internal/control/registry/feed.go
+++ b/internal/control/registry/feed.go
@@ -98,13 +98,15 @@
 }
 
 // distribute sends changes that this instance read itself to other instances. An instance
-// that is neither relay nor watcher only announces its new revision, because many such
-// instances may read the same changes at the same time.
+// that is neither relay nor watcher sends them only down the tree and announces its new
+// revision, because many such instances may read the same changes at the same time.
 func (m *machine) distribute(changes *changeSet) {
-	if !m.isWatcher() && !m.isRelay() {
-		changes = nil
+	if m.isWatcher() || m.isRelay() {
+		m.broadcast(changes, m.isWatcher())
+		return
 	}
-	m.broadcast(changes, m.isWatcher())
+	m.forward(&m.peers.tree.members[m.peers.tree.self], changes)
+	m.broadcast(nil, false)
 }
 
 // entriesAfter returns the entries with a revision greater than the given one.
@@ -133,6 +135,8 @@
 		m.peers.log.Add(entries)
 	}
 	m.feed.revision = max(m.feed.revision, revision)
+	// Changes arrive, so those that follow are probably in transit too.
+	m.peers.pullAt = max(m.peers.pullAt, m.now.Add(pullDelay))
 	if m.missingRevision != 0 && m.feed.revision >= m.missingRevision {
 		m.missingRevision = 0
 		m.confirmAndBroadcast(m.checkSentAt)
--- a/internal/control/registry/fleet_test.go
+++ b/internal/control/registry/fleet_test.go
@@ -123,6 +123,8 @@
 	// listings counts the messages that carry parts of complete listings, changes those
 	// that carry changes.
 	listings, changes int
+	// onChanges is called for each message with changes that an instance sends; may be nil.
+	onChanges func(from int)
 }
 
 // newFleet returns instances in zones z0, z1, ... that have the first instance as their
@@ -278,6 +280,9 @@
 			f.listings++
 		} else if x.message.Kind == peer.Changes {
 			f.changes++
+			if f.onChanges != nil {
+				f.onChanges(node)
+			}
 		}
 		to, ok := f.byAddr[x.to.PeerAddress]
 		if !ok || f.blocked != nil && f.blocked(node, to) || f.random.Float64() < f.loss {
--- a/internal/control/registry/peers.go
+++ b/internal/control/registry/peers.go
@@ -50,6 +50,9 @@
 	// pullDelayAfterGap is used instead of pullDelay once later changes have arrived over
 	// the same path. Then the missing ones can arrive only if messages were reordered.
 	pullDelayAfterGap = 50 * time.Millisecond
+	// listingPatience is the time after the start in which the registry is expected to answer
+	// a listing. A listing from another instance would share the link with it.
+	listingPatience = 250 * time.Millisecond
 	// pullTimeout is the time after which the answer to a pull, or its next part, counts
 	// as lost. It allows for the first part of a listing on a shared link of 10 Mbit/s.
 	pullTimeout = 300 * time.Millisecond
@@ -90,6 +93,7 @@
 	members *placement.Members
 	// isRelay and isWatcher are the duties of this instance among the members.
 	isRelay, isWatcher bool
+	tree               zoneTree
 	calls              map[uint32]*pendingCall // by CallID
 	lastCallID         uint32
 	started            model.Time // time of the first event
@@ -140,7 +144,7 @@
 var dutyKey = placement.HashString("watcher")
 
 // isRelay reports whether this instance forwards changes, confirmations and reports from
-// other zones to its own zone. The relay is the live instance of the zone with the largest
+// other zones to its own zone, at the root of the zone's tree. The relay is the live instance of the zone with the largest
 // capacity. While all instances of the zone are leaving, each counts as the relay.
 func (m *machine) isRelay() bool { return m.peers.isRelay }
 
@@ -155,6 +159,7 @@
 	relay, watcher := p.members.LargestIn(self.Zone, dutyKey), p.members.LargestOverall(dutyKey)
 	p.isRelay = relay == nil || relay.ID == self.ID
 	p.isWatcher = watcher == nil || watcher.ID == self.ID
+	p.tree = newZoneTree(p.members, &self)
 }
 
 // newMessage returns a message with the fields that every message carries.
--- a/internal/control/registry/peers_test.go
+++ b/internal/control/registry/peers_test.go
@@ -251,3 +251,48 @@
 	f.run(6 * time.Second)
 	check("zone cut off")
 }
+
+// Guards against a relay or watcher whose load grows with the instances of its zone, and
+// against instances that miss changes because one that forwards them does not respond.
+func TestChangesSpreadDownATreeInTheZone(t *testing.T) {
+	f := newRunningFleet(t, 120, 3)
+	f.run(10 * time.Second) // the watches from before the watcher was known have ended
+	before := f.pulls()
+	sent := map[int]int{}
+	f.onChanges = func(from int) { sent[from]++ }
+	f.store.server("b")
+	f.run(100 * time.Millisecond)
+	require.Zero(t, f.pulls()-before)
+	for i, m := range f.nodes {
+		require.Equal(t, f.store.revision, m.feed.revision, "instance %d", i)
+		require.LessOrEqual(t, sent[i], fanOut+2, "instance %d", i)
+	}
+	for i, m := range f.nodes {
+		if tree := &m.peers.tree; len(tree.children()) > 0 && !m.isRelay() {
+			f.blocked = func(from, to int) bool { return from == i || to == i }
+			break
+		}
+	}
+	f.store.server("c")
+	f.run(time.Second)
+	behind := 0
+	for _, m := range f.nodes {
+		if m.feed.revision != f.store.revision {
+			behind++
+		}
+	}
+	require.LessOrEqual(t, behind, 1, "all but the instance that does not respond")
+}
+
+// Guards against complete listings between instances at a start while the registry answers.
+// They would take the bandwidth that the answers need.
+func TestNoListingIsPulledWhileTheRegistryAnswers(t *testing.T) {
+	f := newRunningFleet(t, 24, 3)
+	f.listings = 0
+	for i := range f.nodes {
+		f.restart(i, 3)
+	}
+	f.run(2 * time.Second)
+	require.Equal(t, map[uint64]int{3: 24}, f.versions())
+	require.Zero(t, f.listings)
+}
--- a/internal/control/registry/unreachable.go
+++ b/internal/control/registry/unreachable.go
@@ -47,7 +47,7 @@
 	if m.now.Before(p.nextReportAt) {
 		return
 	}
-	recipients := m.broadcastTargets(false)
+	recipients := p.tree.others()
 	p.nextReportAt = m.now.Add(time.Duration(len(recipients)) * time.Second / maxReportMessagesPerSecond)
 	for _, to := range recipients {
 		m.sendReport(to, servers)
