httpfront: no cut requests at a planned stop, no truncated answer to HTTP/1.0 callers

Planned stop: Shutdown closed keep-alive connections on which a request had just been sent ("request 9 got no answer: unexpected EOF", 40 callers in a loop). The front end now answers with Connection: close and goes on serving until no request has come for 300 ms, 3 s at most. Broken answer: an HTTP/1.0 caller of an answer without Content-Length took the end of the aborted connection for the end of the answer (200,138 bytes, no error). Its connection is now reset.

--- a/internal/adapter/httpfront/handler.go
+++ b/internal/adapter/httpfront/handler.go
@@ -66,10 +66,28 @@
 	if a.failed {
 		// The answer is incomplete. The status has already been sent, so the caller
 		// can detect this only if the connection is aborted.
+		if !r.ProtoAtLeast(1, 1) {
+			resetConnection(control)
+		}
 		panic(http.ErrAbortHandler)
 	}
 }
 
+// resetConnection resets the connection of an HTTP/1.0 caller. Without a Content-Length, such
+// a caller takes an ordinary end of the connection for the end of the answer.
+func resetConnection(control *http.ResponseController) {
+	raw, _, err := control.Hijack()
+	if err != nil {
+		return // the connection is closed already
+	}
+	if limited, ok := raw.(*limitedConn); ok {
+		if tcp, ok := limited.Conn.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0) // discards unsent data and sends a reset on close
+		}
+	}
+	_ = raw.Close()
+}
+
 // Limits for reading the rest of the body of a refused request.
 const (
 	discardTimeout    = time.Second
--- a/internal/adapter/httpfront/server.go
+++ b/internal/adapter/httpfront/server.go
@@ -9,6 +9,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -54,8 +55,25 @@
 type Server struct {
 	http           *http.Server
 	maxConnections int
+	// leaving is set while the front end shuts down. Answers then tell callers to leave
+	// their connections.
+	leaving atomic.Bool
+	// lastRequest is the time of the last request, in nanoseconds since 1970.
+	lastRequest atomic.Int64
 }
 
+// Times of a shutdown.
+const (
+	// quietTime is the time without requests after which connections count as unused. It
+	// covers the round trip of a caller that reacts to an answer.
+	quietTime = 300 * time.Millisecond
+	// maxQuietWait limits the wait for quietTime, because callers may go on opening
+	// connections.
+	maxQuietWait = 3 * time.Second
+	// quietPollInterval is the time between two checks for requests.
+	quietPollInterval = 20 * time.Millisecond
+)
+
 // New returns a front end. Serve starts it.
 func New(o Options) (*Server, error) {
 	o.MaxHeaderBytes = cmp.Or(o.MaxHeaderBytes, DefaultMaxHeaderBytes)
@@ -79,12 +97,20 @@
 	if err != nil {
 		return nil, merry.Wrap(ErrFrontEnd, merry.WithCause(err))
 	}
-	return &Server{maxConnections: o.MaxConnections, http: &http.Server{
-		Handler:           http.HandlerFunc(serverless.Serve),
+	s := &Server{maxConnections: o.MaxConnections}
+	s.http = &http.Server{
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			s.lastRequest.Store(time.Now().UnixNano())
+			if s.leaving.Load() {
+				w.Header().Set("Connection", "close")
+			}
+			serverless.Serve(w, r)
+		}),
 		MaxHeaderBytes:    4 * o.MaxHeaderBytes,
 		ReadHeaderTimeout: o.HeaderTimeout,
 		IdleTimeout:       o.IdleTimeout,
-	}}, nil
+	}
+	return s, nil
 }
 
 // Serve answers requests on the listener. It returns nil after Shutdown and ErrFrontEnd
@@ -97,9 +123,35 @@
 	return merry.Wrap(ErrFrontEnd, merry.WithCause(err))
 }
 
-// Shutdown closes the listener and waits for the requests in progress until the
-// context ends.
-func (s *Server) Shutdown(ctx context.Context) error { return s.http.Shutdown(ctx) }
+// Shutdown tells callers with each answer to leave their connections and serves until they
+// have, then closes the listener and waits for the requests in progress, at most until the
+// context ends. Closed at once, a connection could carry a request that gets no answer.
+func (s *Server) Shutdown(ctx context.Context) error {
+	s.leaving.Store(true)
+	s.waitUntilQuiet(ctx)
+	return s.http.Shutdown(ctx)
+}
+
+// waitUntilQuiet returns after quietTime without requests, after maxQuietWait, or when ctx
+// ends.
+func (s *Server) waitUntilQuiet(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, maxQuietWait)
+	defer cancel()
+	start := time.Now()
+	ticker := time.NewTicker(quietPollInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			last := time.Unix(0, s.lastRequest.Load())
+			if now.Sub(start) >= quietTime && now.Sub(last) >= quietTime {
+				return
+			}
+		}
+	}
+}
 
 // router passes every method and path to its only route. The Host header selects the
 // service.
--- a/internal/traffic/requests/fleet_test.go
+++ b/internal/traffic/requests/fleet_test.go
@@ -36,6 +36,7 @@
 // loopback. Messages between the instances are encoded but not sent over sockets.
 type testFleet struct {
 	urls    []string
+	fronts  []*httpfront.Server
 	workers []*requests.Worker
 	byID    map[model.InstanceID]*requests.Worker
 }
@@ -101,6 +102,7 @@
 		require.NoError(t, err)
 		go func() { _ = f.Serve(l) }()
 		t.Cleanup(func() { _ = f.Shutdown(ctx) })
+		fleet.fronts = append(fleet.fronts, f)
 		fleet.urls = append(fleet.urls, "http://"+l.Addr().String())
 	}
 	return fleet
