control/registry: changes older than the catalog are not applied again

Cause: an instance that starts lists the registry. Changes from another instance may begin before that listing; the entry of a server that was removed in between is unknown to the new instance, so applying it listed the server and its removal then left it in use for the grace of 2 s, as after a short outage. Ruled out: single changes (their revision is compared as a whole), listings in parts. Change: entries up to the revision of the catalog are left out. The test failed before.

--- a/internal/control/registry/changes.go
+++ b/internal/control/registry/changes.go
@@ -150,6 +150,9 @@
 		m.applyListing(catalog.Changes{Entries: entries, Revision: message.Revision})
 		return
 	}
+	// The catalog reflects all entries up to its revision. Applied again, an older entry could
+	// restore a server whose removal this instance never saw.
+	entries = entriesAfter(after, entries)
 	if !m.advance(entries, message.Revision, message.Compacted) {
 		// Some of the entries were applied, so the catalog matches no single revision.
 		m.relist()
--- a/internal/control/registry/machine_test.go
+++ b/internal/control/registry/machine_test.go
@@ -239,3 +239,28 @@
 	f.step(0, nil)
 	require.Contains(t, strings.Join(lines, "\n"), "stood still")
 }
+
+// Guards against a server that has left and is in use again after a restart: changes from
+// another instance may begin before the listing with which this one started, and the entry
+// of a server that was removed since is unknown here.
+func TestOlderChangesDoNotRestoreRemovedServers(t *testing.T) {
+	f := newRunningFleet(t, 3, 1)
+	before := f.store.revision
+	f.store.server("left")
+	listed := f.store.history[len(f.store.history)-1]
+	f.store.put(catalog.Entry{Key: "servers/left", Removed: true})
+	removed := f.store.history[len(f.store.history)-1]
+	f.restart(2, 1)
+	f.run(time.Second)
+	require.Equal(t, f.store.revision, f.nodes[2].feed.revision)
+	message := f.nodes[0].newMessage(peer.Changes, "n02")
+	message.AfterRevision, message.Revision, message.Parts = before, f.store.revision+1, 1
+	message.Entries = []catalog.Entry{listed, removed, {Key: "servers/other", Revision: f.store.revision + 1, Removed: true}}
+	f.nodes[2].handle(f.now, evMessage{message})
+	require.Equal(t, f.store.revision+1, f.nodes[2].feed.revision)
+	f.run(publishInterval)
+	for _, server := range f.snapshots[2].Services["s"].Servers {
+		require.NotEqual(t, model.ServerID("left"), server.ID)
+	}
+	require.Nil(t, f.snapshots[2].Servers.Find(tokenOf("left")))
+}
