control/registry: fewer calls while the registry is unreachable

Change: only the relays go on at that rate. The delay of the others doubles up to about 4 s, and they take the registry for reachable again as soon as a confirmation that is younger than their last failed check arrives.

--- a/internal/control/registry/changes.go
+++ b/internal/control/registry/changes.go
@@ -22,6 +22,7 @@
 	case m.feed.listed && message.Revision == m.feed.revision:
 		if at := m.now.Add(-message.Age - transitTime); message.Confirmed && at.After(m.confirmedAt) {
 			m.confirm(at)
+			m.registryAnsweredOther(at)
 			if message.Kind == peer.Gossip && (m.forwardsToZone(message) || m.peers.tree.isParent(message.From.ID)) {
 				for _, to := range m.peers.tree.children() {
 					m.sendConfirmation(to)
--- a/internal/control/registry/feed.go
+++ b/internal/control/registry/feed.go
@@ -273,7 +273,12 @@
 func (m *machine) checkFailed(err error) {
 	m.counts.Failures++
 	m.failedChecks++
-	m.checkAt = m.now.Add(minRetryDelay + time.Duration(m.random.Int64N(int64(maxRetryDelay))))
+	delay := minRetryDelay + time.Duration(m.random.Int64N(int64(maxRetryDelay)))
+	if !m.isRelay() {
+		// The relays go on checking, and what they find reaches the other instances.
+		delay <<= min(m.failedChecks-1, maxCheckDoublings)
+	}
+	m.checkAt = m.now.Add(delay)
 	if errors.Is(err, port.ErrBusy) || m.failedChecks < failureThreshold || !m.registryReachable {
 		return
 	}
@@ -296,6 +301,14 @@
 	}
 }
 
+// registryAnsweredOther records that the registry answered another instance at the given
+// time. If that is later than the last failed check, the registry is reachable again.
+func (m *machine) registryAnsweredOther(at model.Time) {
+	if !m.registryReachable && at.After(m.checkSentAt) {
+		m.registryAnswered()
+	}
+}
+
 // confirm records that the catalog was up to date with the registry at the given time.
 func (m *machine) confirm(at model.Time) { m.confirmedAt = max(m.confirmedAt, at) }
 
--- a/internal/control/registry/machine.go
+++ b/internal/control/registry/machine.go
@@ -32,9 +32,11 @@
 	checkTimeout = 800 * time.Millisecond
 	// minRetryDelay and maxRetryDelay limit the mean delay before a failed listing or
 	// watch is repeated, which doubles with each failure. A failed check is repeated
-	// after minRetryDelay and a random time of up to maxRetryDelay.
-	minRetryDelay = 100 * time.Millisecond
-	maxRetryDelay = 800 * time.Millisecond
+	// after minRetryDelay and a random time of up to maxRetryDelay. Instances other than the
+	// relays double that with each failure, at most maxCheckDoublings times.
+	minRetryDelay     = 100 * time.Millisecond
+	maxRetryDelay     = 800 * time.Millisecond
+	maxCheckDoublings = 3
 	// failureThreshold is the number of consecutive failed checks after which the registry
 	// counts as unreachable.
 	failureThreshold = 2
--- a/internal/control/registry/peers_test.go
+++ b/internal/control/registry/peers_test.go
@@ -296,3 +296,21 @@
 	require.Equal(t, map[uint64]int{3: 24}, f.versions())
 	require.Zero(t, f.listings)
 }
+
+// Guards against calls of an unreachable registry that grow with the number of instances, and
+// against instances that learn of its return late because they wait for their next check.
+func TestOutageOfTheRegistryCostsFewCallsAndEndsForAll(t *testing.T) {
+	f := newRunningFleet(t, 60, 3)
+	f.store.down = func(int) bool { return true }
+	clear(f.store.calls)
+	f.run(10 * time.Second)
+	require.Less(t, f.store.calls["check"], 60*7, "about one call in 1.5 s for each instance")
+	for i, m := range f.nodes {
+		require.False(t, m.registryReachable, "instance %d", i)
+	}
+	f.store.down = nil
+	f.run(1500 * time.Millisecond)
+	for i, m := range f.nodes {
+		require.True(t, m.registryReachable, "instance %d", i)
+	}
+}
