--- a/internal/app/steer/instance.go
+++ b/internal/app/steer/instance.go
@@ -208,6 +208,12 @@
 	return err
 }
 
+// mayStop reports whether an instance that was asked to stop some time ago and has received no
+// packets for the idle time may end. Whatever the traffic, it does so within the grace.
+func mayStop(elapsed, idle, grace time.Duration) bool {
+	return elapsed >= grace-stopMargin || elapsed >= minStopTime && idle >= stopIdleTime
+}
+
 // shutDown makes the instance not ready and continues to serve until traffic has moved to
 // other instances or the stop grace has passed.
 func (i *Instance) shutDown(failed <-chan error) error {
@@ -226,7 +232,7 @@
 		now := i.clock.Now()
 		elapsed := now.Sub(start)
 		idle := now.Sub(max(i.worker.LastPacket(), start))
-		if elapsed >= i.settings.Load().Bounds.StopGrace-stopMargin || elapsed >= minStopTime && idle >= stopIdleTime {
+		if mayStop(elapsed, idle, i.settings.Load().Bounds.StopGrace) {
 			i.log.Info("traffic has moved or the stop grace has passed", "after_ms", elapsed.Milliseconds(), "quiet_ms", idle.Milliseconds())
 			return nil
 		}
