control, app: one timeout a SYN, no dead code

Cause: the observer that the program uses counted every retransmission of a SYN as a timeout of the server, so one caller behind a broken path could fail a server; the rule that counts one stood in control.ObserveFlow, which nothing called. equalServer did not compare FlowsHomeOnly, so traffic could miss its change.

--- a/internal/app/gauges.go
+++ b/internal/app/gauges.go
@@ -34,7 +34,7 @@
 		for name, count := range map[string]uint64{
 			"control.notes_applied": c.Applied, "control.notes_refused": c.Refused, "control.note_conflicts": c.Conflicts,
 			"control.reads": c.Reads, "control.watches": c.Watches, "control.lists": c.Lists, "control.calls": c.Calls,
-			"control.pauses": c.Pauses, "control.dead_peers": c.Dead,
+			"control.pauses": c.Pauses,
 		} {
 			out.Gauges[name] = int64(count)
 		}
--- a/internal/app/observe.go
+++ b/internal/app/observe.go
@@ -7,10 +7,15 @@
 	"github.com/savorytiller/savorytiller/internal/port"
 )
 
+// timeoutRetransmission is the number of the SYN retransmission that counts as a
+// timeout of the server. The first one can be due to a lost packet. If later ones
+// counted too, a single caller behind a broken path would cause several timeouts of
+// a server.
+const timeoutRetransmission = 2
+
 // newFlowObserver returns a function that converts observations of backend servers by
 // flows to health observations and passes them to the sink. Kinds that do not show
-// the health of the server are dropped. Unlike control.Control.ObserveFlow, the function
-// counts every retransmission of a SYN as a timeout of the server.
+// the health of the server are dropped.
 func newFlowObserver(sink port.ObservationSink) func(flow.Observation) {
 	return func(o flow.Observation) {
 		out := health.Observation{Server: o.Server, Unit: health.Connection}
@@ -18,6 +23,9 @@
 		case flow.ObservedEstablished, flow.ObservedProgress:
 			out.Result = health.Success
 		case flow.ObservedSYNRetransmission:
+			if o.Retransmissions != timeoutRetransmission {
+				return
+			}
 			out.Result = health.Timeout
 		default:
 			return
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -18,7 +18,6 @@
 	"github.com/ansel1/merry/v2"
 	"github.com/go-logr/logr"
 
-	"github.com/savorytiller/savorytiller/internal/core/flow"
 	"github.com/savorytiller/savorytiller/internal/core/health"
 	"github.com/savorytiller/savorytiller/internal/core/model"
 	"github.com/savorytiller/savorytiller/internal/core/request"
@@ -118,24 +117,6 @@
 	}
 }
 
-// timeoutRetransmission is the number of the SYN retransmission that counts as a
-// timeout of the server. The first one can be due to a lost packet. If later ones
-// counted too, a single caller behind a broken path would cause several timeouts of
-// a server.
-const timeoutRetransmission = 2
-
-// ObserveFlow records an observation of a flow worker. Of the retransmissions of a
-// SYN, only number timeoutRetransmission counts. The observer that package app passes
-// to the flow workers differs: it counts each of them as a timeout.
-func (c *Control) ObserveFlow(o flow.Observation) {
-	switch {
-	case o.Kind == flow.ObservedEstablished || o.Kind == flow.ObservedProgress:
-		c.Observe(health.Observation{Server: o.Server, Result: health.Success, Unit: health.Connection})
-	case o.Kind == flow.ObservedSYNRetransmission && o.Retransmissions == timeoutRetransmission:
-		c.Observe(health.Observation{Server: o.Server, Result: health.Timeout, Unit: health.Connection})
-	}
-}
-
 // Leave marks this instance as leaving. From then on, views have ShuttingDown set;
 // peers receive this state with the next heartbeats.
 func (c *Control) Leave() { c.post(evLeave{}) }
--- a/internal/control/machine.go
+++ b/internal/control/machine.go
@@ -106,7 +106,7 @@
 	Reads, Watches, Lists, Calls uint64
 	// ReconnectedProbes counts probes that succeeded only in the retry over a new
 	// connection.
-	Pauses, Dead, ReconnectedProbes uint64
+	Pauses, ReconnectedProbes uint64
 	ObservationsIgnored             uint64 // failures right after a pause
 }
 
--- a/internal/control/publish.go
+++ b/internal/control/publish.go
@@ -110,7 +110,7 @@
 func equalServer(a, b *view.Server) bool {
 	return a.Server == b.Server && a.Service == b.Service && a.Number == b.Number && a.Warmth == b.Warmth &&
 		a.Reason == b.Reason && a.NewWork == b.NewWork && a.SlotLimit == b.SlotLimit &&
-		a.ConnectionLimit == b.ConnectionLimit && slices.Equal(a.Slots, b.Slots)
+		a.FlowsHomeOnly == b.FlowsHomeOnly && a.ConnectionLimit == b.ConnectionLimit && slices.Equal(a.Slots, b.Slots)
 }
 
 // connectionShare returns this instance's share of a server's connections, given the
--- a/internal/core/capacity/pool.go
+++ b/internal/core/capacity/pool.go
@@ -101,9 +101,6 @@
 	return u
 }
 
-// TotalSlots returns the number of slots of a service that this instance may use.
-func (p *Pool) TotalSlots(service model.ServiceID) int { return p.service(service).totalSlots }
-
 // UnavailableReason returns why no server of a service can take a request, no matter
 // which instance holds its slots, or ReasonNone.
 func (p *Pool) UnavailableReason(service model.ServiceID) model.Reason {
--- a/internal/standin/deployment/deployment.go
+++ b/internal/standin/deployment/deployment.go
@@ -46,8 +46,6 @@
 	// each server.
 	Slots       int
 	Connections int
-	// ClientDelay is the one-way delay between callers and the fabric.
-	ClientDelay time.Duration
 	Services    []Service
 }
 
@@ -73,7 +71,7 @@
 	images := newService(18, "inspection", "factory", "image", 4)
 	images.Kinds = []RequestKind{newRequestKind("image", "PUT", "/images", true, "uploads", 100, 12, 300<<10, 256, 60*time.Millisecond)}
 	return &Deployment{Name: "factory", Zones: []string{"halle-a", "halle-b", "halle-c", "qs-labor"},
-		Slots: 4, Connections: 2000, ClientDelay: time.Millisecond, Services: []Service{line, images}}
+		Slots: 4, Connections: 2000, Services: []Service{line, images}}
 }
 
 func market() *Deployment {
@@ -83,7 +81,7 @@
 	tally := newService(34, "tally-intake", "market", "tally", 4)
 	tally.Kinds = []RequestKind{newRequestKind("tally", "POST", "/tallies", false, "uploads", 100, 8, 200<<10, 256, 60*time.Millisecond)}
 	return &Deployment{Name: "market", Zones: []string{"pkc-a", "pkc-b", "pkc-c"},
-		Slots: 2, Connections: 2000, ClientDelay: 3 * time.Millisecond, Services: []Service{price, tally}}
+		Slots: 2, Connections: 2000, Services: []Service{price, tally}}
 }
 
 func newService(id uint32, name, tenant, prefix string, servers int) Service {
--- a/internal/traffic/flows/pool.go
+++ b/internal/traffic/flows/pool.go
@@ -9,7 +9,7 @@
 //		Views: control, Clock: clock, Sender: socket, Recorder: metrics,
 //		NewCodec: func() port.FlowCodec { return geneve.NewCodec(geneve.Options{Self: socket.Address(), Keys: keys}) },
 //		Self: settings.FlowAddress, Incarnation: incarnation, Peers: peers,
-//		Observe: control.ObserveFlow,
+//		Observe: observeServer,
 //	})
 //	peers.Handle(flows.MethodRecords, pool.HandleRecords)
 //	go pool.Run(ctx)                              // returns when all workers have ended
