--- a/internal/control/machine.go
+++ b/internal/control/machine.go
@@ -107,7 +107,7 @@
 	// ReconnectedProbes counts probes that succeeded only in the retry over a new
 	// connection.
 	Pauses, ReconnectedProbes uint64
-	ObservationsIgnored             uint64 // failures right after a pause
+	ObservationsIgnored       uint64 // failures right after a pause
 }
 
 func newMachine(o Options) *machine {
