--- a/internal/control/registry/feed.go
+++ b/internal/control/registry/feed.go
@@ -105,7 +105,8 @@
 		m.broadcast(changes, m.isWatcher())
 		return
 	}
-	m.forward(&m.peers.tree.members[m.peers.tree.self], changes)
+	self := m.peers.table.Self()
+	m.forward(&self, changes)
 	m.broadcast(nil, false)
 }
 
@@ -275,8 +276,9 @@
 	m.failedChecks++
 	delay := minRetryDelay + time.Duration(m.random.Int64N(int64(maxRetryDelay)))
 	if !m.isRelay() {
-		// The relays go on checking, and what they find reaches the other instances.
-		delay <<= min(m.failedChecks-1, maxCheckDoublings)
+		// The relays go on checking, and what they find reaches the other instances. Should
+		// it not, the interval of the checks leaves time for a listing within the bound.
+		delay = max(delay, min(delay<<min(m.failedChecks-1, maxCheckDoublings), m.timing.checkInterval))
 	}
 	m.checkAt = m.now.Add(delay)
 	if errors.Is(err, port.ErrBusy) || m.failedChecks < failureThreshold || !m.registryReachable {
--- a/internal/control/registry/machine.go
+++ b/internal/control/registry/machine.go
@@ -33,7 +33,8 @@
 	// minRetryDelay and maxRetryDelay limit the mean delay before a failed listing or
 	// watch is repeated, which doubles with each failure. A failed check is repeated
 	// after minRetryDelay and a random time of up to maxRetryDelay. Instances other than the
-	// relays double that with each failure, at most maxCheckDoublings times.
+	// relays double that with each failure, at most maxCheckDoublings times and up to the
+	// interval of checks.
 	minRetryDelay     = 100 * time.Millisecond
 	maxRetryDelay     = 800 * time.Millisecond
 	maxCheckDoublings = 3
--- a/internal/control/registry/peers.go
+++ b/internal/control/registry/peers.go
@@ -144,8 +144,9 @@
 var dutyKey = placement.HashString("watcher")
 
 // isRelay reports whether this instance forwards changes, confirmations and reports from
-// other zones to its own zone, at the root of the zone's tree. The relay is the live instance of the zone with the largest
-// capacity. While all instances of the zone are leaving, each counts as the relay.
+// other zones to its own zone, at the root of the zone's tree. The relay is the live
+// instance of the zone with the largest capacity. While all instances of the zone are
+// leaving, each counts as the relay.
 func (m *machine) isRelay() bool { return m.peers.isRelay }
 
 // isWatcher reports whether this instance watches the registry on behalf of all instances
--- a/internal/control/registry/peers_test.go
+++ b/internal/control/registry/peers_test.go
@@ -304,7 +304,8 @@
 	f.store.down = func(int) bool { return true }
 	clear(f.store.calls)
 	f.run(10 * time.Second)
-	require.Less(t, f.store.calls["check"], 60*7, "about one call in 1.5 s for each instance")
+	perInstance := int(10 * time.Second / f.nodes[0].timing.checkInterval)
+	require.Less(t, f.store.calls["check"], 60*perInstance, "about one call in an interval of checks for each instance")
 	for i, m := range f.nodes {
 		require.False(t, m.registryReachable, "instance %d", i)
 	}
--- a/internal/core/steering/lost.go
+++ b/internal/core/steering/lost.go
@@ -31,15 +31,19 @@
 
 func newLostFlows() lostFlows { return lostFlows{reportedAt: map[Token]model.Time{}} }
 
-// queueResets queues resets of the open idempotent flows of the targets with flowsReset set,
-// unless no other server could take the flow, and removes the records of these flows.
-func (s *Steerer) queueResets() {
+// queueResets queues resets of the open idempotent flows of lost targets and removes their
+// records. Targets that are only unreachable are left out while no other server could take
+// their flows.
+func (s *Steerer) queueResets(lost []*target) {
+	for _, t := range lost {
+		t.flowsReset = t.server.Ended || s.hasAlternative(t)
+	}
 	for key, f := range s.flows {
 		if !f.target.flowsReset || f.stage != open {
 			continue
 		}
 		route := s.snapshot.Routes[key.Route]
-		if route == nil || !route.Idempotent || !f.target.server.Ended && !s.hasAlternative(f.target) {
+		if route == nil || !route.Idempotent {
 			continue
 		}
 		s.lost.resets = append(s.lost.resets, Packet{Key: key, Acknowledged: f.acknowledged, Token: f.target.server.Token})
--- a/internal/core/steering/steerer.go
+++ b/internal/core/steering/steerer.go
@@ -92,12 +92,12 @@
 		return
 	}
 	s.snapshot = snapshot
-	failed := false
+	var lost []*target
 	for token, t := range s.targets {
 		if server := snapshot.Servers.Find(token); server != nil {
 			t.update(server)
 			if t.flows > 0 && !t.flowsReset && (server.Ended || t.unreachable()) {
-				t.flowsReset, failed = true, true
+				lost = append(lost, t)
 			}
 			if since := snapshot.UnresponsiveSince[server.Zone]; since != 0 && t.flows > 0 && server.ProbeSentAt.Before(since) && t.lastResponseAt.Before(since) {
 				// Without a probe, each flow would notice an outage only by its own timeout.
@@ -107,8 +107,8 @@
 			delete(s.targets, token)
 		}
 	}
-	if failed {
-		s.queueResets()
+	if len(lost) > 0 {
+		s.queueResets(lost)
 	}
 }
 
