--- a/internal/adapter/peerudp/codec_test.go
+++ b/internal/adapter/peerudp/codec_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"reflect"
 	"testing"
 	"time"
 
@@ -26,7 +27,7 @@
 			Shares: []catalog.Share{{Service: "a", Weight: 9}, {Service: "b", Weight: 1}}}}}
 	return &peer.Message{Kind: peer.Changes, CallID: 7, From: self, Updates: []member.Update{{Member: model.Member{ID: "n2", Liveness: model.Dead}}},
 		Join: true, Target: at, Revision: 40, Confirmed: true, CutOff: true, Age: 120 * time.Millisecond, AfterRevision: 38, Compacted: true, Part: 1, Parts: 3,
-		UnreachableServers: []catalog.ServerRun{{ID: "i-1", Started: 5}},
+		UnreachableServers: []catalog.ServerRun{{ID: "i-1", Started: 5}}, Tokens: []steering.Token{1, 0xffff_ffff},
 		Entries: []catalog.Entry{
 			{Key: "c", Revision: 39, Config: config},
 			{Key: "c", Revision: 40, Delta: &catalog.Delta{Base: 9, Version: 12, IdleTimeout: time.Second,
@@ -44,6 +45,10 @@
 	got, err := decode(b)
 	require.NoError(t, err)
 	require.Equal(t, want, got)
+	fields := reflect.ValueOf(*want)
+	for i := range fields.NumField() {
+		require.False(t, fields.Field(i).IsZero(), "the test does not cover %s", fields.Type().Field(i).Name)
+	}
 }
 
 // Guards against an entry that is invalid at the sender but treated as valid by the
--- a/internal/adapter/peerudp/size_test.go
+++ b/internal/adapter/peerudp/size_test.go
@@ -11,6 +11,7 @@
 	"github.com/savorytiller/savorytiller/internal/core/member"
 	"github.com/savorytiller/savorytiller/internal/core/model"
 	"github.com/savorytiller/savorytiller/internal/core/peer"
+	"github.com/savorytiller/savorytiller/internal/core/steering"
 )
 
 // Guards against messages that are larger than docs/CAPACITY.md assumes.
@@ -28,7 +29,12 @@
 		m.Updates = append(m.Updates, member.Update{Member: self})
 	}
 	require.LessOrEqual(t, size(), 1000, "a probe with 16 updates")
-	m.Updates, m.Kind = nil, peer.Changes
+	m.Updates, m.Kind = nil, peer.Lookup
+	for i := range 128 {
+		m.Tokens = append(m.Tokens, steering.Token(0xffff_ff00+i))
+	}
+	require.LessOrEqual(t, size(), 1000, "a lookup of the most tokens that are packed into one message")
+	m.Tokens, m.Kind = nil, peer.Changes
 	for i := range 9 {
 		id := fmt.Sprintf("i-%010x", 0x73c7651150+i)
 		m.Entries = append(m.Entries, catalog.Entry{Key: "servers/" + id, Revision: uint64(i), Server: &catalog.ServerEntry{
