--- a/internal/core/steering/steerer.go
+++ b/internal/core/steering/steerer.go
@@ -191,7 +191,7 @@
 	}
 	t := s.selectServer(service, avoid, now)
 	if t == nil {
-		return s.decideWithoutServer(service, now)
+		return Decision{Reason: model.ReasonNoCapacity}
 	}
 	load := t.busy
 	s.addFlow(p, f, t, now)
@@ -224,16 +224,6 @@
 	return Decision{Reason: model.ReasonUnknownService}
 }
 
-// decideWithoutServer returns the decision about a new flow for which no server was selected.
-// A service without any server that accepts flows cannot serve it, so the caller is told at
-// once. If only cold servers are at their limits, its next retransmission may be in time.
-func (s *Steerer) decideWithoutServer(service *Service, now model.Time) Decision {
-	if len(service.Servers) == 0 && s.snapshot.fresh(now) {
-		return Decision{Action: Reset, Reason: model.ReasonNoCapacity}
-	}
-	return Decision{Reason: model.ReasonNoCapacity}
-}
-
 // decideOpenFlow returns the decision about a packet that is not a SYN.
 func (s *Steerer) decideOpenFlow(p *Packet, now model.Time) Decision {
 	f := s.flows[p.Key]
