registry: log and count restores of the registry

The epoch of the registry is read from all answers; a change is a log line with inputs, age and known revision, and the metric registry_restores. Each listing is a line. No decision uses the epoch yet.

--- a/internal/app/steer/instance.go
+++ b/internal/app/steer/instance.go
@@ -141,7 +141,7 @@
 	out := map[string]float64{"log_lines_left_out": float64(i.linesLeftOut())}
 	if c := i.control.Counts(); c != nil {
 		for name, n := range map[string]uint64{"lists": c.Lists, "watches": c.Watches, "checks": c.Checks,
-			"failures": c.Failures, "compactions": c.Compactions, "missed_changes": c.MissedChanges,
+			"failures": c.Failures, "compactions": c.Compactions, "restores": c.Restores, "missed_changes": c.MissedChanges,
 			"unusable_entries": c.UnusableEntries, "probes": c.Probes, "pulls": c.Pulls} {
 			out["registry_"+name] = float64(n)
 		}
--- a/internal/control/registry/events.go
+++ b/internal/control/registry/events.go
@@ -25,8 +25,8 @@
 
 // evChecked is the result of a check.
 type evChecked struct {
-	revision uint64
-	err      error
+	revision, epoch uint64
+	err             error
 }
 
 // evSuspect names a run of a server that did not respond to flows.
@@ -91,8 +91,8 @@
 func (effCheck) run(ctx context.Context, o *Options) event {
 	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
 	defer cancel()
-	revision, err := o.Registry.Revision(ctx)
-	return evChecked{revision, err}
+	revision, epoch, err := o.Registry.Revision(ctx)
+	return evChecked{revision, epoch, err}
 }
 
 // effProbe probes a server.
--- a/internal/control/registry/feed.go
+++ b/internal/control/registry/feed.go
@@ -67,7 +67,10 @@
 	}
 	f.retryDelay = 0
 	m.registryAnswered()
+	m.observeEpoch(e.changes.Epoch, e.changes.Revision)
 	if e.listing {
+		m.log.Info("registry listed", "entries", len(e.changes.Entries), "revision", e.changes.Revision, "epoch", e.changes.Epoch,
+			"config_version", configVersion(e.changes.Entries), "known_revision", f.revision)
 		m.applyListing(e.changes)
 		m.missingSince = m.now // the listing may be older than the check; a watch delivers the rest
 		return
@@ -97,6 +100,16 @@
 	}
 }
 
+// configVersion returns the version of the configuration among the entries, or 0.
+func configVersion(entries []catalog.Entry) uint64 {
+	for i := range entries {
+		if c := entries[i].Config; c != nil {
+			return c.Version
+		}
+	}
+	return 0
+}
+
 // distribute sends changes that this instance read itself to other instances. An instance
 // that is neither relay nor watcher sends them only down the tree and announces its new
 // revision, because many such instances may read the same changes at the same time.
@@ -254,6 +267,7 @@
 		return
 	}
 	m.registryAnswered()
+	m.observeEpoch(e.epoch, e.revision)
 	m.recordAnswer(m.checkSentAt)
 	switch {
 	case !m.feed.listed:
@@ -303,6 +317,17 @@
 	}
 }
 
+// observeEpoch logs that the registry has been restored from a copy since its last answer to
+// this instance.
+func (m *machine) observeEpoch(epoch, revision uint64) {
+	if m.registryEpoch != 0 && epoch != m.registryEpoch {
+		m.counts.Restores++
+		m.log.Info("registry restored from a copy", "epoch", epoch, "previous_epoch", m.registryEpoch,
+			"previous_epoch_ms_ago", m.now.Sub(m.registryEpochAt).Milliseconds(), "revision", revision, "known_revision", m.feed.revision)
+	}
+	m.registryEpoch, m.registryEpochAt = epoch, m.now
+}
+
 // registryAnsweredOther records that the registry answered another instance at the given
 // time. If that is later than the last failed check, the registry is reachable again.
 func (m *machine) registryAnsweredOther(at model.Time) {
--- a/internal/control/registry/machine.go
+++ b/internal/control/registry/machine.go
@@ -101,6 +101,8 @@
 	checkSentAt       model.Time
 	checkJitter       time.Duration
 	failedChecks      int
+	registryEpoch     uint64     // of the registry's last answer to this instance
+	registryEpochAt   model.Time // time of that answer
 	registryReachable bool
 	missingRevision   uint64 // revision that a check returned and the catalog lacks; 0 for none
 	missingSince      model.Time
@@ -122,9 +124,10 @@
 }
 
 // Counts holds the numbers of calls and events since the start. Failures counts failed
-// listings, watches and checks; Probes counts probes of servers.
+// listings, watches and checks; Restores counts changes of the registry's epoch; Probes
+// counts probes of servers.
 type Counts struct {
-	Lists, Watches, Checks, Failures, Compactions, MissedChanges, UnusableEntries, Probes, Pulls uint64
+	Lists, Watches, Checks, Failures, Compactions, Restores, MissedChanges, UnusableEntries, Probes, Pulls uint64
 }
 
 func newMachine(o Options) *machine {
--- a/internal/control/registry/machine_test.go
+++ b/internal/control/registry/machine_test.go
@@ -186,9 +186,9 @@
 	return catalog.Changes{}, port.ErrUnavailable
 }
 
-func (hangingRegistry) Revision(ctx context.Context) (uint64, error) {
+func (hangingRegistry) Revision(ctx context.Context) (revision, epoch uint64, err error) {
 	<-ctx.Done()
-	return 0, port.ErrUnavailable
+	return 0, 0, port.ErrUnavailable
 }
 
 func (hangingRegistry) Reconnect() {}
--- a/internal/core/catalog/types.go
+++ b/internal/core/catalog/types.go
@@ -87,4 +87,7 @@
 type Changes struct {
 	Entries  []Entry
 	Revision uint64
+	// Epoch is the number of times that the registry has been restored from a copy, after
+	// which it gives out revisions again; 0 if it does not say.
+	Epoch uint64
 }
--- a/internal/port/registry.go
+++ b/internal/port/registry.go
@@ -27,8 +27,8 @@
 	// Watch returns the changes after a revision as soon as there are any, or no
 	// changes after the wait. The error may also be ErrCompacted.
 	Watch(ctx context.Context, after uint64, wait time.Duration) (catalog.Changes, error)
-	// Revision returns the current revision of the registry.
-	Revision(ctx context.Context) (uint64, error)
+	// Revision returns the current revision of the registry and its epoch.
+	Revision(ctx context.Context) (revision, epoch uint64, err error)
 	// Reconnect closes idle connections, because a connection can be dead without
 	// an error on this side.
 	Reconnect()
