registry: revisions are compared only within an epoch of the registry

Cause: a registry that is restored from a copy gives revisions out again. Entries, positions of other instances, watches and checks were compared by revision alone, so a change with a known revision was left out (catalog.Apply, entriesAfter), never watched for, and a check that returned a lower revision confirmed the old view. Class: an order is compared after its source has started it again.

Change: a position is epoch and revision. Answers of an earlier epoch are ignored; one of a later epoch needs a listing, before which all known revisions become older than it. The watcher lists at once and sends the complete listing to the relays and down the trees; a relay lists itself after 0.25 s, another instance after 0.7 s. A watch in progress when the epoch changes is not used.

TestCatalogsAreCompleteUnderRandomFaults now restores the registry too; it fails with any of these checks taken out.

--- a/internal/adapter/peerudp/codec.go
+++ b/internal/adapter/peerudp/codec.go
@@ -19,6 +19,17 @@
 // Messages with another version are rejected.
 const formatVersion = 3
 
+// A message with an epoch is wrapped in a CBOR tag with the number epochTag + epoch.
+// Instances that don't know the tag ignore it, as CBOR asks for; a message without it has no
+// epoch.
+const (
+	epochTag = 0x5354_0000
+	maxEpoch = 0xffff
+)
+
+// cborTagged is the major type of tagged items in the first three bits of their encoding.
+const cborTagged = 6
+
 // wireMessage is the encoding of peer.Message. The wire types are encoded as CBOR
 // arrays, so the order of their fields is part of the format.
 type wireMessage struct {
@@ -148,12 +159,33 @@
 		w.Entries = append(w.Entries, newWireEntry(&m.Entries[i]))
 	}
 	b, err := cbor.Marshal(&w)
+	if err == nil && m.Epoch > maxEpoch {
+		err = merry.Errorf("epoch %d is over %d", m.Epoch, maxEpoch)
+	}
+	if err == nil && m.Epoch != 0 {
+		b, err = cbor.Marshal(cbor.RawTag{Number: epochTag + m.Epoch, Content: b})
+	}
 	if err != nil {
 		return nil, merry.Wrap(port.ErrMalformed, merry.WithCause(err))
 	}
 	return b, nil
 }
 
+// untag returns the message in a datagram without its tag, and the epoch that the tag states.
+func untag(datagram []byte) (message []byte, epoch uint64, err error) {
+	if len(datagram) == 0 || datagram[0]>>5 != cborTagged {
+		return datagram, 0, nil
+	}
+	var tag cbor.RawTag
+	if err := decMode.Unmarshal(datagram, &tag); err != nil {
+		return nil, 0, err
+	}
+	if tag.Number <= epochTag || tag.Number > epochTag+maxEpoch {
+		return nil, 0, merry.Errorf("message with tag %d", tag.Number)
+	}
+	return tag.Content, tag.Number - epochTag, nil
+}
+
 func newWireMember(m *model.Member) wireMember {
 	return wireMember{ID: string(m.ID), Zone: string(m.Zone), Incarnation: uint64(m.Incarnation),
 		Liveness: uint8(m.Liveness), Address: addressBytes(m.PeerAddress), Capacity: m.Capacity}
@@ -201,16 +233,19 @@
 // decode returns the message in a datagram. The error is port.ErrMalformed.
 func decode(datagram []byte) (*peer.Message, error) {
 	var w wireMessage
-	if err := decMode.Unmarshal(datagram, &w); err != nil {
+	content, epoch, err := untag(datagram)
+	if err == nil {
+		err = decMode.Unmarshal(content, &w)
+	}
+	if err != nil {
 		return nil, merry.Wrap(port.ErrMalformed, merry.WithCause(err))
 	}
 	if w.Version != formatVersion || !peer.Kind(w.Kind).Valid() {
 		return nil, merry.Wrap(port.ErrMalformed, merry.AppendMessagef("message with version %d and kind %d", w.Version, w.Kind))
 	}
-	m := &peer.Message{Kind: peer.Kind(w.Kind), CallID: w.CallID, Join: w.Join, Revision: w.Revision, Confirmed: w.Confirmed,
+	m := &peer.Message{Kind: peer.Kind(w.Kind), CallID: w.CallID, Join: w.Join, Epoch: epoch, Revision: w.Revision, Confirmed: w.Confirmed,
 		Age: time.Duration(w.AgeMs) * time.Millisecond, CutOff: w.CutOff, AfterRevision: w.AfterRevision, Compacted: w.Compacted, Part: w.Part, Parts: w.Parts,
 		Tokens: w.Tokens}
-	var err error
 	if m.From, err = w.From.member(); err == nil {
 		m.Target, err = parseAddress(w.Target)
 	}
--- a/internal/adapter/peerudp/codec_test.go
+++ b/internal/adapter/peerudp/codec_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/stretchr/testify/require"
 
 	"github.com/savorytiller/savorytiller/internal/adapter/metrics"
@@ -26,7 +27,7 @@
 		Routes: []catalog.Route{{Name: "r", Endpoint: steering.Endpoint{Address: 1, Port: 2}, Idempotent: true,
 			Shares: []catalog.Share{{Service: "a", Weight: 9}, {Service: "b", Weight: 1}}}}}
 	return &peer.Message{Kind: peer.Changes, CallID: 7, From: self, Updates: []member.Update{{Member: model.Member{ID: "n2", Liveness: model.Dead}}},
-		Join: true, Target: at, Revision: 40, Confirmed: true, CutOff: true, Age: 120 * time.Millisecond, AfterRevision: 38, Compacted: true, Part: 1, Parts: 3,
+		Join: true, Target: at, Epoch: 3, Revision: 40, Confirmed: true, CutOff: true, Age: 120 * time.Millisecond, AfterRevision: 38, Compacted: true, Part: 1, Parts: 3,
 		UnreachableServers: []catalog.ServerRun{{ID: "i-1", Started: 5}}, Tokens: []steering.Token{1, 0xffff_ffff},
 		Entries: []catalog.Entry{
 			{Key: "c", Revision: 39, Config: config},
@@ -51,6 +52,27 @@
 	}
 }
 
+// Guards against instances of a version that does not know epochs and cannot decode the
+// messages of later ones, or whose messages later ones cannot decode.
+func TestMessagesWithoutAnEpochAreUnderstood(t *testing.T) {
+	want := newFullMessage()
+	b, err := encode(want)
+	require.NoError(t, err)
+	var earlier wireMessage
+	require.NoError(t, decMode.Unmarshal(b, &earlier), "a decoder that does not know the tag")
+	require.EqualValues(t, 40, earlier.Revision)
+
+	b, err = cbor.Marshal(&earlier)
+	require.NoError(t, err)
+	got, err := decode(b)
+	require.NoError(t, err)
+	want.Epoch = 0
+	require.Equal(t, want, got)
+	want.Epoch = maxEpoch + 1
+	_, err = encode(want)
+	require.ErrorIs(t, err, port.ErrMalformed)
+}
+
 // Guards against an entry that is invalid at the sender but treated as valid by the
 // receiver.
 func TestInvalidEntriesStayInvalid(t *testing.T) {
--- a/internal/control/registry/changes.go
+++ b/internal/control/registry/changes.go
@@ -10,16 +10,17 @@
 	"github.com/savorytiller/savorytiller/internal/core/peer"
 )
 
-// compareRevision compares the revision of the sender with that of this instance. If they
+// comparePosition compares the position of the sender with that of this instance. If they
 // are equal, it adopts a newer confirmation of the sender. If that arrived in a Gossip
 // message down the tree of the zone, or at the relay from another zone, this instance
-// forwards it. If the sender's revision is newer, compareRevision schedules a pull.
-func (m *machine) compareRevision(message *peer.Message) {
+// forwards it. If the sender's position is later, comparePosition schedules a pull.
+func (m *machine) comparePosition(message *peer.Message) {
 	if message.Revision == 0 {
 		return
 	}
+	position := message.Position()
 	switch {
-	case m.feed.listed && message.Revision == m.feed.revision:
+	case m.feed.listed && position == m.feed.position():
 		if at := m.now.Add(-message.Age - transitTime); message.Confirmed && at.After(m.confirmedAt) {
 			m.confirm(at)
 			m.registryAnsweredOther(at)
@@ -29,42 +30,42 @@
 				}
 			}
 		}
-	case !m.feed.listed && m.registryReachable, m.feed.listed && message.Revision < m.feed.revision:
-		// This instance is listing the registry, or the sender has an older revision.
+	case !m.feed.listed && m.registryReachable, m.feed.listed && !position.After(m.feed.position()):
+		// This instance is listing the registry, or the sender has an older view.
 	default:
-		m.schedulePull(message.From, message.Revision, pullDelay)
+		m.schedulePull(message.From, position, pullDelay)
 	}
 }
 
-// schedulePull records that another instance has a newer revision, and schedules a pull
+// schedulePull records that another instance has a later view, and schedules a pull
 // after a delay in which the changes may arrive without one. If the catalog is not
 // complete, a listing is pulled, preferably from the own zone, unless the registry answers
 // within listingPatience of the start.
-func (m *machine) schedulePull(from model.Member, revision uint64, after time.Duration) {
+func (m *machine) schedulePull(from model.Member, position catalog.Position, after time.Duration) {
 	p := &m.peers
 	if !m.feed.listed {
 		after = max(0, listingPatience-m.now.Sub(p.started))
-		if p.newestRevision != 0 && p.newestFrom.Zone == m.zone && from.Zone != m.zone {
+		if p.newest.Revision != 0 && p.newestFrom.Zone == m.zone && from.Zone != m.zone {
 			return
 		}
 	}
-	if at := m.now.Add(after); p.newestRevision == 0 || at.Before(p.pullAt) {
+	if at := m.now.Add(after); p.newest.Revision == 0 || at.Before(p.pullAt) {
 		p.pullAt = at
 	}
-	if revision >= p.newestRevision {
-		p.newestRevision, p.newestFrom = revision, from
+	if !p.newest.After(position) {
+		p.newest, p.newestFrom = position, from
 	}
 }
 
-// pull requests the missing changes from the instance with the newest known revision, if
+// pull requests the missing changes from the instance with the latest known view, if
 // that is due.
 func (m *machine) pull() {
 	p := &m.peers
-	if p.newestRevision == 0 {
+	if p.newest.Revision == 0 {
 		return
 	}
-	if m.feed.listed && p.newestRevision <= m.feed.revision {
-		p.newestRevision = 0
+	if m.feed.listed && !p.newest.After(m.feed.position()) {
+		p.newest = catalog.Position{}
 		return
 	}
 	if at := max(p.pullAt, p.pullRetryAt); m.now.Before(at) {
@@ -87,9 +88,11 @@
 	if !m.feed.listed {
 		return
 	}
-	if entries, compacted, ok := m.peers.log.After(message.AfterRevision); ok && message.AfterRevision != 0 {
-		m.sendChanges(message.From, newChangeSet(message.AfterRevision, compacted, entries))
-		return
+	if message.AfterRevision != 0 && message.Epoch == m.feed.epoch {
+		if entries, compacted, ok := m.peers.log.After(message.AfterRevision); ok {
+			m.sendChanges(message.From, newChangeSet(message.AfterRevision, compacted, entries))
+			return
+		}
 	}
 	m.sendChanges(message.From, newChangeSet(0, false, m.catalog.Entries()))
 }
@@ -129,14 +132,15 @@
 // receiveChanges applies changes or a complete listing once all parts have arrived. If
 // earlier changes are missing, it schedules a pull instead.
 func (m *machine) receiveChanges(message *peer.Message) {
-	f := &m.feed
+	f, position := &m.feed, message.Position()
 	switch {
-	case f.listed && message.Revision <= f.revision:
+	case f.listed && !position.After(f.position()):
 		return
-	case f.listed && (message.AfterRevision > f.revision || message.Compacted && message.AfterRevision != f.revision):
-		m.schedulePull(message.From, message.Revision, pullDelayAfterGap)
+	case message.AfterRevision == 0: // a complete listing
+	case f.listed && (position.Epoch != f.epoch || message.AfterRevision > f.revision || message.Compacted && message.AfterRevision != f.revision):
+		m.schedulePull(message.From, position, pullDelayAfterGap)
 		return
-	case !f.listed && message.AfterRevision != 0:
+	case !f.listed:
 		return
 	}
 	entries, ok := m.peers.collectParts(m.now, message)
@@ -147,8 +151,10 @@
 	}
 	after := f.revision
 	if message.AfterRevision == 0 {
-		m.log.Info("applying the listing of another instance", "instance", message.From.ID, "revision", message.Revision)
-		m.applyListing(catalog.Changes{Entries: entries, Revision: message.Revision})
+		m.log.Info("applying the listing of another instance", "instance", message.From.ID, "revision", message.Revision, "epoch", message.Epoch)
+		if changes := m.applyListing(catalog.Changes{Entries: entries, Revision: message.Revision, Epoch: message.Epoch}); changes != nil {
+			m.forward(&message.From, changes)
+		}
 		return
 	}
 	// The catalog reflects all entries up to its revision. Applied again, an older entry could
--- a/internal/control/registry/events.go
+++ b/internal/control/registry/events.go
@@ -25,8 +25,8 @@
 
 // evChecked is the result of a check.
 type evChecked struct {
-	revision, epoch uint64
-	err             error
+	position catalog.Position
+	err      error
 }
 
 // evSuspect names a run of a server that did not respond to flows.
@@ -85,14 +85,14 @@
 	return evChanges{f.generation, false, changes, err}
 }
 
-// effCheck reads the current revision of the registry.
+// effCheck reads the current position of the registry.
 type effCheck struct{}
 
 func (effCheck) run(ctx context.Context, o *Options) event {
 	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
 	defer cancel()
-	revision, epoch, err := o.Registry.Revision(ctx)
-	return evChecked{revision, epoch, err}
+	position, err := o.Registry.Position(ctx)
+	return evChecked{position, err}
 }
 
 // effProbe probes a server.
--- a/internal/control/registry/feed.go
+++ b/internal/control/registry/feed.go
@@ -6,17 +6,23 @@
 	"slices"
 	"time"
 
+	"github.com/ansel1/merry/v2"
+
 	"github.com/savorytiller/savorytiller/internal/core/catalog"
 	"github.com/savorytiller/savorytiller/internal/core/model"
 	"github.com/savorytiller/savorytiller/internal/port"
 )
 
+// errEarlierEpoch means that the registry's answer is older than a restore that this instance
+// knows of.
+var errEarlierEpoch = merry.New("answer from before the registry was restored")
+
 // feed is the state of reading the registry by listings and watches.
 type feed struct {
-	// listed is set while the catalog is complete up to revision. A new listing is needed
-	// if it is not set.
-	listed   bool
-	revision uint64
+	// listed is set while the catalog is complete up to revision, which belongs to epoch. A
+	// new listing is needed if it is not set.
+	listed          bool
+	epoch, revision uint64
 	// running is set while a listing or a watch is in progress. generation distinguishes
 	// its result from the results of earlier ones that were cancelled.
 	running    bool
@@ -28,11 +34,16 @@
 	retryDelay time.Duration
 }
 
+// position returns how far the catalog goes.
+func (f *feed) position() catalog.Position {
+	return catalog.Position{Epoch: f.epoch, Revision: f.revision}
+}
+
 // startRead starts a listing or a watch unless one is in progress. Instances other than
 // the watcher use a watch only to read changes that a check has shown to be missing.
 func (m *machine) startRead() {
 	f := &m.feed
-	if f.running || f.listed && !m.isWatcher() && m.missingRevision == 0 {
+	if f.running || f.listed && !m.isWatcher() && !m.missesChanges() || m.missesEpoch() && f.listed {
 		return
 	}
 	if m.now.Before(f.nextReadAt) {
@@ -61,20 +72,28 @@
 		return
 	}
 	f.running = false
+	if e.err == nil && e.changes.Epoch < f.epoch {
+		e.err = errEarlierEpoch
+	}
 	if e.err != nil {
 		m.readFailed(e)
 		return
 	}
 	f.retryDelay = 0
 	m.registryAnswered()
-	m.observeEpoch(e.changes.Epoch, e.changes.Revision)
 	if e.listing {
 		m.log.Info("registry listed", "entries", len(e.changes.Entries), "revision", e.changes.Revision, "epoch", e.changes.Epoch,
-			"config_version", configVersion(e.changes.Entries), "known_revision", f.revision)
-		m.applyListing(e.changes)
+			"config_version", configVersion(e.changes.Entries), "known_epoch", f.epoch, "known_revision", f.revision)
+		if changes := m.applyListing(e.changes); changes != nil {
+			m.distribute(changes)
+		}
 		m.missingSince = m.now // the listing may be older than the check; a watch delivers the rest
 		return
 	}
+	if e.changes.Epoch > f.epoch {
+		m.changesMissing(e.changes.Position())
+		return
+	}
 	// After this pause, further changes of the same burst are read by a single call.
 	f.nextReadAt = m.now.Add(batchPause)
 	after := f.revision
@@ -84,22 +103,50 @@
 	}
 }
 
-// applyListing applies a complete listing. The changes since the last known revision are
-// added to the change log and sent to other instances like changes from a watch. The
-// first listing is not sent, and the change log starts at its revision.
-func (m *machine) applyListing(listing catalog.Changes) {
+// applyListing applies a complete listing and returns what other instances need; nil for
+// nothing. The changes since the last known revision are added to the change log. The first
+// listing of this instance is not for others, and the first one of an epoch is for all of
+// them, whatever they know. The change log then starts at its revision.
+func (m *machine) applyListing(listing catalog.Changes) *changeSet {
 	after := m.feed.revision
+	restored := after != 0 && listing.Epoch != m.feed.epoch
+	if restored {
+		m.enterEpoch(&listing)
+		after = 0
+	}
 	changes := append(m.catalog.ImpliedRemovals(&listing), entriesAfter(after, listing.Entries)...)
 	slices.SortStableFunc(changes, func(a, b catalog.Entry) int { return cmp.Compare(a.Revision, b.Revision) })
-	m.feed.listed = true
+	m.feed.listed, m.feed.epoch = true, listing.Epoch
 	if after == 0 {
 		m.peers.log.Reset(listing.Revision)
 	}
-	if m.advance(changes, listing.Revision, after != 0) && after != 0 && len(changes) > 0 {
-		m.distribute(newChangeSet(after, true, changes))
+	applied := m.advance(changes, listing.Revision, after != 0)
+	switch {
+	case restored:
+		m.log.Info("view moved to the restored registry", "epoch", listing.Epoch, "revision", listing.Revision,
+			"config_version", m.catalog.ConfigVersion(), "listed_config_version", configVersion(listing.Entries),
+			"entries", len(listing.Entries))
+		return newChangeSet(0, false, m.catalog.Entries())
+	case applied && after != 0 && len(changes) > 0:
+		return newChangeSet(after, true, changes)
+	default:
+		return nil
 	}
 }
 
+// enterEpoch prepares for the first listing of a new epoch. Its entries may be older than
+// what the catalog knows.
+func (m *machine) enterEpoch(listing *catalog.Changes) {
+	m.counts.Restores++
+	m.log.Info("registry restored from a copy", "epoch", listing.Epoch, "revision", listing.Revision, "known_epoch", m.feed.epoch,
+		"known_revision", m.feed.revision, "confirmed_ms_ago", m.now.Sub(m.confirmedAt).Milliseconds())
+	m.catalog.EnterEpoch(m.now)
+	m.feed.revision, m.restoredAt = 0, m.now
+	// A watch in progress continues from a revision of the previous epoch.
+	m.feed.generation++
+	m.feed.running = false
+}
+
 // configVersion returns the version of the configuration among the entries, or 0.
 func configVersion(entries []catalog.Entry) uint64 {
 	for i := range entries {
@@ -151,13 +198,46 @@
 	m.feed.revision = max(m.feed.revision, revision)
 	// Changes arrive, so those that follow are probably in transit too.
 	m.peers.pullAt = max(m.peers.pullAt, m.now.Add(pullDelay))
-	if m.missingRevision != 0 && m.feed.revision >= m.missingRevision {
-		m.missingRevision = 0
+	if m.missing != (catalog.Position{}) && !m.missing.After(m.feed.position()) {
+		m.missing = catalog.Position{}
 		m.confirmAndBroadcast(m.checkSentAt)
 	}
 	return true
 }
 
+// missesChanges reports whether the registry is known to have more than the catalog.
+func (m *machine) missesChanges() bool { return m.missing.After(m.feed.position()) }
+
+// missesEpoch reports whether the registry is known to be in a later epoch than the catalog.
+// Only a listing helps then, because a watch delivers changes of one epoch.
+func (m *machine) missesEpoch() bool { return m.missing.Epoch > m.feed.epoch }
+
+// changesMissing records that the registry is at a position that the catalog lacks.
+func (m *machine) changesMissing(position catalog.Position) {
+	if !m.missesChanges() || position.Epoch > m.missing.Epoch {
+		m.missingSince = m.now
+	}
+	m.missing = position
+}
+
+// listingDelay is how long to wait for the missing changes before a listing. After a restore
+// of the registry the watcher lists it at once. What it reads reaches the relays and then
+// the other instances, each of which lists the registry only if that does not happen.
+func (m *machine) listingDelay() time.Duration {
+	switch {
+	case m.missesEpoch() && m.isWatcher():
+		return 0
+	case m.missesEpoch() && m.isRelay():
+		return relayListingDelay
+	case m.missesEpoch():
+		return zoneListingDelay + m.checkJitter
+	case m.isWatcher():
+		return watchDeliveryTimeout
+	default:
+		return catchUpTimeout
+	}
+}
+
 // readFailed schedules the next attempt. If the registry has compacted changes that a watch
 // needs, the next attempt is a listing without delay.
 func (m *machine) readFailed(e evChanges) {
@@ -213,12 +293,8 @@
 // if there was no confirmation for timing.staleAfter. If a watch did not deliver the
 // changes up to the revision of the last check in time, startCheck also starts a listing.
 func (m *machine) startCheck() {
-	if m.missingRevision != 0 && m.feed.listed {
-		at := m.missingSince.Add(watchDeliveryTimeout)
-		if !m.isWatcher() {
-			at = m.missingSince.Add(catchUpTimeout)
-		}
-		if m.now.Before(at) {
+	if m.missesChanges() && m.feed.listed {
+		if at := m.missingSince.Add(m.listingDelay()); m.now.Before(at) {
 			m.scheduleWake(at)
 		} else {
 			m.relistMissed()
@@ -243,16 +319,18 @@
 	m.effects = append(m.effects, effCheck{})
 }
 
-// relistMissed starts a listing because a watch missed a change.
+// relistMissed starts a listing because a watch missed a change or cannot deliver it.
 func (m *machine) relistMissed() {
-	m.counts.MissedChanges++
-	m.log.Info("watch missed a change, listing again", "known", m.feed.revision, "revision", m.missingRevision)
+	if !m.missesEpoch() {
+		m.counts.MissedChanges++
+		m.log.Info("watch missed a change, listing again", "known", m.feed.revision, "revision", m.missing.Revision)
+	}
 	m.relist()
 }
 
 // relist cancels all calls in progress and starts a listing.
 func (m *machine) relist() {
-	m.feed = feed{generation: m.feed.generation + 1, revision: m.feed.revision}
+	m.feed = feed{generation: m.feed.generation + 1, epoch: m.feed.epoch, revision: m.feed.revision}
 	m.effects = append(m.effects, effCancel{})
 }
 
@@ -262,23 +340,22 @@
 	m.checking = false
 	m.checkAt = m.checkSentAt.Add(m.timing.checkInterval*3/4 + time.Duration(m.random.Int64N(int64(m.timing.checkInterval/2))))
 	m.checkJitter = time.Duration(m.random.Int64N(int64(maxCheckJitter)))
+	if e.err == nil && e.position.Epoch < m.feed.epoch {
+		e.err = errEarlierEpoch
+	}
 	if e.err != nil {
 		m.checkFailed(e.err)
 		return
 	}
 	m.registryAnswered()
-	m.observeEpoch(e.epoch, e.revision)
 	m.recordAnswer(m.checkSentAt)
 	switch {
 	case !m.feed.listed:
-	case e.revision <= m.feed.revision:
-		m.missingRevision = 0
-		m.confirmAndBroadcast(m.checkSentAt)
+	case e.position.After(m.feed.position()):
+		m.changesMissing(e.position)
 	default:
-		if m.missingRevision == 0 {
-			m.missingSince = m.now
-		}
-		m.missingRevision = e.revision
+		m.missing = catalog.Position{}
+		m.confirmAndBroadcast(m.checkSentAt)
 	}
 }
 
@@ -317,17 +394,6 @@
 	}
 }
 
-// observeEpoch logs that the registry has been restored from a copy since its last answer to
-// this instance.
-func (m *machine) observeEpoch(epoch, revision uint64) {
-	if m.registryEpoch != 0 && epoch != m.registryEpoch {
-		m.counts.Restores++
-		m.log.Info("registry restored from a copy", "epoch", epoch, "previous_epoch", m.registryEpoch,
-			"previous_epoch_ms_ago", m.now.Sub(m.registryEpochAt).Milliseconds(), "revision", revision, "known_revision", m.feed.revision)
-	}
-	m.registryEpoch, m.registryEpochAt = epoch, m.now
-}
-
 // registryAnsweredOther records that the registry answered another instance at the given
 // time. If that is later than the last failed check, the registry is reachable again.
 func (m *machine) registryAnsweredOther(at model.Time) {
--- a/internal/control/registry/fleet_test.go
+++ b/internal/control/registry/fleet_test.go
@@ -29,8 +29,10 @@
 	revision uint64
 	entries  map[string]catalog.Entry
 	history  []catalog.Entry
-	// fullHistory is never compacted. Catalogs are compared with it.
-	fullHistory []catalog.Entry
+	// fullHistory is the history of the current epoch, including what the copy held. It is
+	// never compacted. Catalogs are compared with it, or with pastHistories of their epoch.
+	fullHistory   []catalog.Entry
+	pastHistories map[uint64][]catalog.Entry
 	// compacted is the revision up to which the history was compacted.
 	compacted uint64
 	// epoch is the number of times that the store was restored from a copy, plus one.
@@ -65,8 +67,12 @@
 }
 
 func (s *store) server(id string) uint64 {
+	return s.serverInState(id, model.ServerActive)
+}
+
+func (s *store) serverInState(id string, state model.ServerState) uint64 {
 	return s.put(catalog.Entry{Key: "servers/" + id, Server: &catalog.ServerEntry{ID: model.ServerID(id), Number: 1,
-		Address: netip.MustParseAddrPort("10.0.0.1:80"), Service: "s", Zone: "z0", Slots: 4}})
+		Address: netip.MustParseAddrPort("10.0.0.1:80"), Service: "s", Zone: "z0", Slots: 4, State: state}})
 }
 
 func (s *store) list() catalog.Changes {
@@ -111,6 +117,7 @@
 // out again.
 func (s *store) restore(copied uint64) {
 	all := s.fullHistory
+	s.pastHistories[s.epoch] = all
 	s.epoch++
 	s.revision, s.compacted = copied, min(s.compacted, copied)
 	s.entries, s.history, s.fullHistory = map[string]catalog.Entry{}, nil, nil
@@ -156,7 +163,7 @@
 // seed.
 func newFleet(t *testing.T, n, zones int) *fleet {
 	f := &fleet{t: t, byAddr: map[netip.AddrPort]int{}, random: rand.New(rand.NewPCG(1, uint64(n))),
-		store: &store{epoch: 1, entries: map[string]catalog.Entry{}, calls: map[string]int{}},
+		store: &store{epoch: 1, pastHistories: map[uint64][]catalog.Entry{}, entries: map[string]catalog.Entry{}, calls: map[string]int{}},
 		alive: make([]bool, n), snapshots: make([]*steering.Snapshot, n), nodes: make([]*machine, n)}
 	for i := range n {
 		f.start(i, zones)
@@ -249,7 +256,11 @@
 	}
 	held := map[string]catalog.Entry{}
 	newer := map[string]bool{}
-	for _, e := range f.store.fullHistory {
+	history, past := f.store.pastHistories[m.feed.epoch]
+	if !past {
+		history = f.store.fullHistory
+	}
+	for _, e := range history {
 		if e.Revision > m.feed.revision {
 			newer[e.Key] = true
 		} else if e.Removed {
@@ -284,7 +295,7 @@
 		f.post(f.now+5*ms, node, e)
 	case effCheck:
 		f.store.calls["check"]++
-		e := evChecked{revision: f.store.revision, epoch: f.store.epoch}
+		e := evChecked{position: catalog.Position{Epoch: f.store.epoch, Revision: f.store.revision}}
 		if down {
 			e = evChecked{err: port.ErrUnavailable}
 		}
@@ -338,8 +349,14 @@
 }
 
 // restoreStore makes the store unreachable for a time, after which it is back from a copy from
-// an earlier revision.
-func (f *fleet) restoreStore(copied uint64, away time.Duration) {
+// an earlier revision. It returns the latest entries of the keys that changed since the copy.
+func (f *fleet) restoreStore(copied uint64, away time.Duration) (lost []catalog.Entry) {
+	latest := map[string]catalog.Entry{}
+	for _, e := range f.store.fullHistory {
+		if e.Revision > copied {
+			latest[e.Key] = e
+		}
+	}
 	f.store.down = func(int) bool { return true }
 	for _, w := range f.watches {
 		f.post(f.now+5*ms, w.node, evChanges{generation: w.generation, err: port.ErrUnavailable})
@@ -348,6 +365,19 @@
 	f.run(away)
 	f.store.restore(copied)
 	f.store.down = nil
+	for _, e := range latest {
+		lost = append(lost, e)
+	}
+	slices.SortFunc(lost, func(a, b catalog.Entry) int { return cmp.Compare(a.Revision, b.Revision) })
+	return lost
+}
+
+// rewrite writes entries again, as operators and servers do after a restore.
+func (f *fleet) rewrite(lost []catalog.Entry) {
+	for _, e := range lost {
+		e.Delta = nil
+		f.store.put(e)
+	}
 }
 
 // versions returns the number of live instances for each configuration version in force.
--- a/internal/control/registry/machine.go
+++ b/internal/control/registry/machine.go
@@ -25,6 +25,11 @@
 	// the registry instead.
 	catchUpWait    = 100 * time.Millisecond
 	catchUpTimeout = 150 * time.Millisecond
+	// relayListingDelay and zoneListingDelay are how long a relay and another instance wait
+	// after a restore of the registry for the listing of the watcher, which crosses zones and
+	// then the tree of the zone.
+	relayListingDelay = 250 * time.Millisecond
+	zoneListingDelay  = 700 * time.Millisecond
 	// batchPause is the pause after a successful watch, so that a burst of changes is read
 	// in a few calls.
 	batchPause = 100 * time.Millisecond
@@ -101,11 +106,10 @@
 	checkSentAt       model.Time
 	checkJitter       time.Duration
 	failedChecks      int
-	registryEpoch     uint64     // of the registry's last answer to this instance
-	registryEpochAt   model.Time // time of that answer
 	registryReachable bool
-	missingRevision   uint64 // revision that a check returned and the catalog lacks; 0 for none
+	missing           catalog.Position // of the registry, while the catalog lacks it; zero for none
 	missingSince      model.Time
+	restoredAt        model.Time // when the catalog last entered a new epoch; 0 for never
 	confirmedAt       model.Time
 	expireAt          model.Time
 	changesAt         model.Time // when the snapshot next changes without an event; 0 for never
@@ -124,8 +128,8 @@
 }
 
 // Counts holds the numbers of calls and events since the start. Failures counts failed
-// listings, watches and checks; Restores counts changes of the registry's epoch; Probes
-// counts probes of servers.
+// listings, watches and checks; Restores counts restores of
+// the registry that the catalog has followed; Probes counts probes of servers.
 type Counts struct {
 	Lists, Watches, Checks, Failures, Compactions, Restores, MissedChanges, UnusableEntries, Probes, Pulls uint64
 }
--- a/internal/control/registry/machine_test.go
+++ b/internal/control/registry/machine_test.go
@@ -61,7 +61,7 @@
 		version := uint64(10)
 		for range rapid.IntRange(5, 25).Draw(rt, "steps") {
 			i := rapid.IntRange(0, len(f.nodes)-1).Draw(rt, "instance")
-			switch rapid.IntRange(0, 9).Draw(rt, "step") {
+			switch rapid.IntRange(0, 10).Draw(rt, "step") {
 			case 0, 1:
 				version += 2
 				f.store.config(version, rapid.IntRange(1, 40).Draw(rt, "routes"))
@@ -85,6 +85,11 @@
 				f.store.down = func(node int) bool { return node%3 < down }
 			case 9:
 				f.loss = rapid.Float64Range(0, 0.4).Draw(rt, "loss")
+			case 10:
+				copied := rapid.Uint64Range(2, f.store.revision).Draw(rt, "copied")
+				lost := f.restoreStore(copied, time.Duration(rapid.IntRange(1, 3000).Draw(rt, "away_ms"))*time.Millisecond)
+				f.run(time.Duration(rapid.IntRange(0, 1000).Draw(rt, "rewrite_ms")) * time.Millisecond)
+				f.rewrite(lost)
 			}
 			f.run(time.Duration(rapid.IntRange(1, 1500).Draw(rt, "ms")) * time.Millisecond)
 		}
@@ -93,6 +98,9 @@
 		version += 2
 		f.store.config(version, 3)
 		f.timeUntilInForce(version, 3*time.Second)
+		for i, m := range f.nodes {
+			require.Len(rt, m.catalog.Entries(), len(f.store.entries), "instance %d", i)
+		}
 	})
 }
 
@@ -186,9 +194,9 @@
 	return catalog.Changes{}, port.ErrUnavailable
 }
 
-func (hangingRegistry) Revision(ctx context.Context) (revision, epoch uint64, err error) {
+func (hangingRegistry) Position(ctx context.Context) (catalog.Position, error) {
 	<-ctx.Done()
-	return 0, 0, port.ErrUnavailable
+	return catalog.Position{}, port.ErrUnavailable
 }
 
 func (hangingRegistry) Reconnect() {}
--- a/internal/control/registry/peers.go
+++ b/internal/control/registry/peers.go
@@ -103,10 +103,10 @@
 	// once they have been received.
 	zoneJoinAt model.Time
 	zoneJoined bool
-	// newestRevision is the newest revision that another instance, newestFrom, is known to
-	// have and this one lacks; 0 for none. It is pulled at pullAt, but not before
-	// pullRetryAt, because an earlier pull may still be answered.
-	newestRevision      uint64
+	// newest is the latest position that another instance, newestFrom, is known to have and
+	// this one lacks; zero for none. It is pulled at pullAt, but not before pullRetryAt,
+	// because an earlier pull may still be answered.
+	newest              catalog.Position
 	newestFrom          model.Member
 	pullAt, pullRetryAt model.Time
 	// lastMessageAt is the time of the last message from each zone.
@@ -172,7 +172,7 @@
 	_, received := m.lastFromOtherZones()
 	out.CutOff = m.peers.cutOff && received
 	if m.feed.listed {
-		out.Revision = m.feed.revision
+		out.Epoch, out.Revision = m.feed.epoch, m.feed.revision
 		out.Confirmed = m.confirmedAt != 0
 		out.Age = m.now.Sub(m.confirmedAt)
 	}
@@ -393,7 +393,7 @@
 		m.receiveLookupAnswer(message)
 	}
 	m.receiveReport(message)
-	m.compareRevision(message)
+	m.comparePosition(message)
 }
 
 // answerProbe answers a probe, and sends the live and leaving members that an instance that
--- a/internal/core/catalog/catalog.go
+++ b/internal/core/catalog/catalog.go
@@ -73,7 +73,8 @@
 	routes map[steering.Endpoint]*Route
 	// configKey is the registry key of the configuration.
 	configKey string
-	// revisions holds the newest revision of each key, including removed keys.
+	// revisions holds the newest revision of each key in the current epoch, including
+	// removed keys; 0 for a key that is known from an earlier epoch only.
 	revisions  map[string]uint64
 	tombstones int
 	listed     map[string]listedItem
@@ -84,7 +85,7 @@
 	// zoneReturnedAt is when a withdrawn zone returned to service.
 	zoneReturnedAt map[model.Zone]model.Time
 	// reachableSince is the time since which the registry has been reachable without
-	// interruption; 0 while it is unreachable.
+	// interruption or restore; 0 while it is unreachable.
 	reachableSince model.Time
 	changed        bool
 }
@@ -150,7 +151,7 @@
 		}
 		return ConfigurationInForce
 	case e.Server != nil:
-		return c.listServer(now, e.Key, e.Server)
+		return c.listServer(now, e)
 	case e.Withdrawn != "":
 		c.withdrawnZones[e.Withdrawn] = true
 		c.listed[e.Key] = listedItem{zone: e.Withdrawn}
@@ -161,7 +162,8 @@
 }
 
 // listServer applies a server's entry.
-func (c *Catalog) listServer(now model.Time, key string, e *ServerEntry) Effect {
+func (c *Catalog) listServer(now model.Time, entry *Entry) Effect {
+	key, e := entry.Key, entry.Server
 	r := e.Run()
 	if old, ok := c.listed[key]; ok && old.run != r {
 		c.markUnlisted(now, old.run)
@@ -169,8 +171,8 @@
 			s.replaced = true
 		}
 	}
-	c.listed[key] = listedItem{run: r}
 	s := c.servers[r]
+	c.listed[key] = listedItem{run: r}
 	if s == nil {
 		s = &server{}
 		c.servers[r] = s
@@ -241,11 +243,12 @@
 	c.changed = true
 }
 
-// graceEndsAt returns when the grace time of an unlisted server ends. It starts anew when
-// the registry becomes reachable, since the entry may have expired during the outage and
-// will be restored if the server is alive. ok is false while the registry is unreachable.
-func (c *Catalog) graceEndsAt(s *server) (at model.Time, ok bool) {
-	return max(s.unlistedAt, c.reachableSince).Add(c.settings.UnlistedGrace), c.reachableSince != 0
+// graceEndsAt returns when the grace time of an entry that has been missing since a given
+// time ends. It starts anew when the registry becomes reachable, since the entry may have
+// expired during the outage and will be written again if it still holds. ok is false while
+// the registry is unreachable.
+func (c *Catalog) graceEndsAt(missingSince model.Time) (at model.Time, ok bool) {
+	return max(missingSince, c.reachableSince).Add(c.settings.UnlistedGrace), c.reachableSince != 0
 }
 
 // TakeChanged reports whether the catalog changed since the last call.
@@ -264,6 +267,14 @@
 // Config returns the configuration in force, or nil.
 func (c *Catalog) Config() *Configuration { return c.config }
 
+// ConfigVersion returns the version of the configuration in force, or 0.
+func (c *Catalog) ConfigVersion() uint64 {
+	if c.config == nil {
+		return 0
+	}
+	return c.config.Version
+}
+
 // Expire removes unlisted servers whose flows have ended, and the revisions of removed keys
 // if there are too many.
 func (c *Catalog) Expire(now model.Time) {
--- a/internal/core/catalog/delta.go
+++ b/internal/core/catalog/delta.go
@@ -68,7 +68,7 @@
 // configuration in force. It returns false if the entry is a delta to another version.
 func (c *Catalog) resolveDelta(e *Entry) bool {
 	switch {
-	case e.Config != nil && e.Delta == nil && c.config != nil:
+	case e.Config != nil && e.Delta == nil && c.config != nil && e.Config.Version >= c.config.Version:
 		e.Delta = Diff(c.config, e.Config)
 	case e.Config == nil && e.Delta != nil:
 		if c.config == nil || c.config.Version != e.Delta.Base {
--- a/internal/core/catalog/snapshot.go
+++ b/internal/core/catalog/snapshot.go
@@ -112,7 +112,7 @@
 	if s.unlistedAt == 0 || s.learned {
 		return s.learned
 	}
-	at, ok := b.catalog.graceEndsAt(s)
+	at, ok := b.catalog.graceEndsAt(s.unlistedAt)
 	if ok {
 		b.noteChangeAt(at)
 	}
--- a/internal/core/catalog/types.go
+++ b/internal/core/catalog/types.go
@@ -87,7 +87,20 @@
 type Changes struct {
 	Entries  []Entry
 	Revision uint64
-	// Epoch is the number of times that the registry has been restored from a copy, after
-	// which it gives out revisions again; 0 if it does not say.
+	// Epoch is the epoch of Revision and of the entries' revisions.
 	Epoch uint64
 }
+
+// Position returns how far the changes go.
+func (c *Changes) Position() Position { return Position{c.Epoch, c.Revision} }
+
+// Position is how far a view of the registry goes. Epoch increases each time the registry is
+// restored from a copy; it is 0 if the registry does not say. The registry then continues
+// from the revision of the copy and gives out later revisions again, so revisions can be
+// compared only within an epoch.
+type Position struct{ Epoch, Revision uint64 }
+
+// After reports whether p is later than other.
+func (p Position) After(other Position) bool {
+	return p.Epoch > other.Epoch || p.Epoch == other.Epoch && p.Revision > other.Revision
+}
--- a/internal/core/peer/message.go
+++ b/internal/core/peer/message.go
@@ -55,8 +55,8 @@
 	Target netip.AddrPort
 
 	// Revision is the registry revision up to which the sender's catalog is complete; 0 if
-	// it is empty.
-	Revision uint64
+	// it is empty. Epoch is the epoch of all revisions in the message.
+	Epoch, Revision uint64
 	// Confirmed is set if the sender's catalog was confirmed to be up to date with the
 	// registry, most recently Age before this message.
 	Confirmed bool
@@ -84,6 +84,11 @@
 	Part, Parts int
 }
 
+// Position returns how far the sender's catalog goes.
+func (m *Message) Position() catalog.Position {
+	return catalog.Position{Epoch: m.Epoch, Revision: m.Revision}
+}
+
 // maxMessageBytes is the size up to which entries are packed into one message. It is below
 // the size at which networks fragment datagrams.
 const maxMessageBytes = 1000
--- a/internal/port/registry.go
+++ b/internal/port/registry.go
@@ -25,10 +25,11 @@
 	// listing has none.
 	List(ctx context.Context) (catalog.Changes, error)
 	// Watch returns the changes after a revision as soon as there are any, or no
-	// changes after the wait. The error may also be ErrCompacted.
+	// changes after the wait. Their epoch may be another one than that of the given
+	// revision; the changes are then of no use. The error may also be ErrCompacted.
 	Watch(ctx context.Context, after uint64, wait time.Duration) (catalog.Changes, error)
-	// Revision returns the current revision of the registry and its epoch.
-	Revision(ctx context.Context) (revision, epoch uint64, err error)
+	// Position returns the current position of the registry.
+	Position(ctx context.Context) (catalog.Position, error)
 	// Reconnect closes idle connections, because a connection can be dead without
 	// an error on this side.
 	Reconnect()
