catalog: restored entries of servers are merged with what is known of their runs

Callers could see: new flows to a server that had announced its end, or full load on one that had turned cold, because the copy from which the registry was restored lists it as it was some seconds before.

Cause: within an epoch a higher revision is newer, but the first listing of an epoch may be older than the view. Change: its entries are marked, and merged in the order that the servers give them: a later run stays, a run that drains does not become active, the longer cold time holds. A run whose entry had been removed is probed when the copy lists it. Unchanged entries change nothing and are not logged.

Evidence: without the merge TestLeavingServerStaysLeavingAfterARestore, TestEarlierRunInACopyChangesNothing, TestColdStartIsKeptAfterARestore and TestServerThatACopyListsAgainIsProbed fail.

--- a/internal/control/registry/feed.go
+++ b/internal/control/registry/feed.go
@@ -145,6 +145,9 @@
 	// A watch in progress continues from a revision of the previous epoch.
 	m.feed.generation++
 	m.feed.running = false
+	for i := range listing.Entries {
+		listing.Entries[i].Restored = true
+	}
 }
 
 // configVersion returns the version of the configuration among the entries, or 0.
--- a/internal/control/registry/fleet_test.go
+++ b/internal/control/registry/fleet_test.go
@@ -375,7 +375,7 @@
 // rewrite writes entries again, as operators and servers do after a restore.
 func (f *fleet) rewrite(lost []catalog.Entry) {
 	for _, e := range lost {
-		e.Delta = nil
+		e.Delta, e.Restored = nil, false
 		f.store.put(e)
 	}
 }
--- a/internal/core/catalog/catalog.go
+++ b/internal/core/catalog/catalog.go
@@ -164,6 +164,12 @@
 // listServer applies a server's entry.
 func (c *Catalog) listServer(now model.Time, entry *Entry) Effect {
 	key, e := entry.Key, entry.Server
+	if entry.Restored {
+		var ok bool
+		if e, ok = c.mergeRestored(now, key, e); !ok {
+			return Unchanged
+		}
+	}
 	r := e.Run()
 	if old, ok := c.listed[key]; ok && old.run != r {
 		c.markUnlisted(now, old.run)
@@ -172,6 +178,9 @@
 		}
 	}
 	s := c.servers[r]
+	if entry.Restored && s != nil && s.unlistedAt == 0 && s.entry == *e {
+		return Unchanged
+	}
 	c.listed[key] = listedItem{run: r}
 	if s == nil {
 		s = &server{}
--- a/internal/core/catalog/restore_test.go
+++ b/internal/core/catalog/restore_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"github.com/savorytiller/savorytiller/internal/core/model"
+	"github.com/savorytiller/savorytiller/internal/core/steering"
 )
 
 // restore applies the first listing after a restore of the registry.
@@ -16,6 +18,7 @@
 		c.Apply(now, &e)
 	}
 	for i := range entries {
+		entries[i].Restored = true
 		c.Apply(now, &entries[i])
 	}
 }
@@ -38,6 +41,52 @@
 	require.Equal(t, ConfigurationInForce, c.Apply(second, &Entry{Key: "config", Revision: 6, Config: &Configuration{Version: 15}}))
 }
 
+// Guards against new flows to a leaving server that a copy lists as active.
+func TestLeavingServerStaysLeavingAfterARestore(t *testing.T) {
+	draining := func(e *ServerEntry) { e.State = model.ServerDraining }
+	c := newCatalog()
+	c.put(1, 10, serverEntry("a", 1, draining))
+	c.put(1, 11, serverEntry("left", 1, draining))
+	c.Apply(2, &Entry{Key: "servers/left", Revision: 12, Removed: true})
+	c.restore(second, Entry{Key: "servers/a", Revision: 3, Server: serverEntry("a", 1, nil)},
+		Entry{Key: "servers/left", Revision: 4, Server: serverEntry("left", 1, nil)})
+	require.Empty(t, eligible(c, 2*second))
+	c.put(2*second, 6, serverEntry("a", 2, nil))
+	require.Equal(t, []string{"a"}, eligible(c, 3*second), "its next run is active")
+}
+
+// Guards against an ended run of a server that a copy lists in place of its successor.
+func TestEarlierRunInACopyChangesNothing(t *testing.T) {
+	c := newCatalog()
+	c.put(1, 10, serverEntry("a", 1, nil))
+	c.put(2, 11, serverEntry("a", 2, nil))
+	c.restore(second, Entry{Key: "servers/a", Revision: 3, Server: serverEntry("a", 1, nil)})
+	require.Equal(t, []string{"a/1"}, ended(c, 2*second))
+	require.EqualValues(t, 2, fill(c, 2*second).Services["s"].Servers[0].Started)
+}
+
+// Guards against full load on a server that turned cold after the copy was taken.
+func TestColdStartIsKeptAfterARestore(t *testing.T) {
+	c := newCatalog()
+	c.put(1, 10, serverEntry("a", 1, func(e *ServerEntry) { e.ColdFor = 5 * time.Second }))
+	c.restore(second, Entry{Key: "servers/a", Revision: 3, Server: serverEntry("a", 1, nil)})
+	require.Equal(t, 5*second+1, fill(c, 2*second).Services["s"].Servers[0].ColdUntil)
+}
+
+// Guards against flows to a server that ended after the copy was taken: it is probed, and gets
+// new flows meanwhile only if no other server can take them.
+func TestServerThatACopyListsAgainIsProbed(t *testing.T) {
+	c := newCatalog()
+	c.put(1, 10, serverEntry("a", 1, nil))
+	c.Apply(2, &Entry{Key: "servers/a", Revision: 11, Removed: true})
+	c.RecordProbe(3, 3, "a", 1, Ended)
+	c.restore(second, Entry{Key: "servers/a", Revision: 3, Server: serverEntry("a", 1, nil)})
+	due, _ := c.DueProbes(second, 8, func(model.Zone) bool { return true })
+	require.Len(t, due, 1)
+	c.RecordProbe(second, 2*second, "a", 1, Unreachable)
+	require.Equal(t, steering.Unreachable, fill(c, 2*second).Services["s"].Servers[0].ProbeResult)
+}
+
 // Guards against a server that counts as ended because its entry is missing right after a
 // restore, and whose open flows are then reset.
 func TestServersMayReturnAfterARestore(t *testing.T) {
--- a/internal/core/catalog/types.go
+++ b/internal/core/catalog/types.go
@@ -81,6 +81,9 @@
 	Withdrawn model.Zone
 	// Err is why the value is invalid.
 	Err error
+	// Restored is set if the entry is from the first listing after a restore of the
+	// registry, so that it may be older than what is known of its key.
+	Restored bool
 }
 
 // Changes are entries in ascending order of their revisions, complete up to Revision.
