catalog: a zone stays out of service over a restore of the registry

Callers could see: flows to servers of a zone that operators had just withdrawn, from the return of a registry whose copy lacks the withdrawal until operators have written it again.

Cause: a withdrawn zone that a complete listing lacks counts as returned. Withdrawals have no order of their own, so nothing shows that the listing is the older one. Change: after a restore a withdrawn zone that the listing lacks is held out of service for the grace time of missing entries (2 s from the return of the registry) and then returns, with a line of the log. A held zone in the listing of another instance has revision 0 and is held by its receiver too. Weighed: to follow the listing (new flows to a zone that must get none), and the reverse hold for zones that were returned (a copy that lists the zone as withdrawn costs its capacity for some tenths of a second, and no rule).

Evidence: TestZoneWithdrawnIsNotReturnedByARestore and TestZoneWithdrawnStaysOutOfServiceAfterARestore fail without the hold.

--- a/internal/control/registry/feed.go
+++ b/internal/control/registry/feed.go
@@ -125,7 +125,7 @@
 	case restored:
 		m.log.Info("view moved to the restored registry", "epoch", listing.Epoch, "revision", listing.Revision,
 			"config_version", m.catalog.ConfigVersion(), "listed_config_version", configVersion(listing.Entries),
-			"entries", len(listing.Entries))
+			"zones_held", m.catalog.HeldZones(), "entries", len(listing.Entries))
 		return newChangeSet(0, false, m.catalog.Entries())
 	case applied && after != 0 && len(changes) > 0:
 		return newChangeSet(after, true, changes)
@@ -150,6 +150,16 @@
 	}
 }
 
+// releaseHeldZones returns zones to service that operators have not withdrawn again in time
+// after a restore of the registry.
+func (m *machine) releaseHeldZones() {
+	removals, next := m.catalog.ReleaseHeld(m.now, m.feed.revision)
+	m.applyEntries(removals)
+	if next != 0 {
+		m.scheduleWake(next)
+	}
+}
+
 // configVersion returns the version of the configuration among the entries, or 0.
 func configVersion(entries []catalog.Entry) uint64 {
 	for i := range entries {
--- a/internal/control/registry/machine.go
+++ b/internal/control/registry/machine.go
@@ -187,6 +187,7 @@
 		m.lookups.expire(m.now, m.flowLifetime)
 		m.expireAt = m.now.Add(time.Second)
 	}
+	m.releaseHeldZones()
 	m.publish()
 	m.lookUpTokens()
 }
--- a/internal/control/registry/restore_test.go
+++ b/internal/control/registry/restore_test.go
@@ -145,6 +145,28 @@
 	require.Equal(t, confirmed, m.confirmedAt)
 }
 
+// Guards against a withdrawn zone that returns to service because a copy lacks the withdrawal.
+func TestZoneWithdrawnIsNotReturnedByARestore(t *testing.T) {
+	f := newRunningFleet(t, 7, 3)
+	copied := f.store.config(5, 20)
+	f.run(time.Second)
+	f.store.withdraw("z0")
+	f.run(time.Second)
+	lost := f.restoreStore(copied, 2*time.Second)
+	for range 15 {
+		f.run(100 * time.Millisecond)
+		for i, s := range f.snapshots {
+			require.Empty(t, s.Services["s"].Servers, "instance %d", i)
+		}
+	}
+	f.rewrite(lost)
+	f.run(5 * time.Second)
+	require.Empty(t, f.snapshots[3].Services["s"].Servers)
+	f.store.put(catalog.Entry{Key: "zones/z0", Removed: true})
+	f.run(time.Second)
+	require.Len(t, f.snapshots[3].Services["s"].Servers, 1)
+}
+
 // Guards against changes of a previous epoch for an instance in a later one, and the other way
 // round: the revisions from which they continue are not comparable.
 func TestChangesOfAnotherEpochAreNotExchanged(t *testing.T) {
--- a/internal/core/catalog/catalog.go
+++ b/internal/core/catalog/catalog.go
@@ -28,7 +28,8 @@
 	// Lifetime is the longest time that a flow may stay open.
 	Lifetime time.Duration
 	// UnlistedGrace is how long a server whose entry disappeared from the registry may
-	// still get new flows unless it was draining, since the entry may be restored.
+	// still get new flows unless it was draining, and how long a zone stays out of service
+	// whose withdrawal a restore of the registry lost, since the entry may be written again.
 	UnlistedGrace time.Duration
 	// DefaultIdleTimeout is used if the configuration has no idle timeout.
 	DefaultIdleTimeout time.Duration
@@ -84,6 +85,8 @@
 	withdrawnZones  map[model.Zone]bool
 	// zoneReturnedAt is when a withdrawn zone returned to service.
 	zoneReturnedAt map[model.Zone]model.Time
+	// heldSince is since when a zone is out of service as of an earlier epoch only, by key.
+	heldSince map[string]model.Time
 	// reachableSince is the time since which the registry has been reachable without
 	// interruption or restore; 0 while it is unreachable.
 	reachableSince model.Time
@@ -93,7 +96,7 @@
 // New returns an empty catalog.
 func New(s Settings) *Catalog {
 	return &Catalog{settings: s, revisions: map[string]uint64{}, listed: map[string]listedItem{},
-		servers: map[ServerRun]*server{}, probeCandidates: map[ServerRun]*server{}, withdrawnZones: map[model.Zone]bool{}, zoneReturnedAt: map[model.Zone]model.Time{}}
+		servers: map[ServerRun]*server{}, probeCandidates: map[ServerRun]*server{}, withdrawnZones: map[model.Zone]bool{}, zoneReturnedAt: map[model.Zone]model.Time{}, heldSince: map[string]model.Time{}}
 }
 
 // Effect is what an entry changed.
@@ -130,6 +133,7 @@
 		return MissingBase
 	}
 	c.revisions[e.Key] = e.Revision
+	delete(c.heldSince, e.Key)
 	effect := c.apply(now, e)
 	c.changed = c.changed || effect != Unchanged && effect != Ignored
 	return effect
@@ -153,6 +157,9 @@
 	case e.Server != nil:
 		return c.listServer(now, e)
 	case e.Withdrawn != "":
+		if e.Revision == 0 {
+			c.heldSince[e.Key] = now
+		}
 		c.withdrawnZones[e.Withdrawn] = true
 		c.listed[e.Key] = listedItem{zone: e.Withdrawn}
 		return ZoneWithdrawn
@@ -231,7 +238,7 @@
 	}
 	var removals []Entry
 	for key := range c.listed {
-		if !present[key] && c.revisions[key] <= listing.Revision {
+		if _, held := c.heldSince[key]; !held && !present[key] && c.revisions[key] <= listing.Revision {
 			removals = append(removals, Entry{Key: key, Revision: max(listing.Revision, c.revisions[key]+1), Removed: true})
 		}
 	}
--- a/internal/core/catalog/restore_test.go
+++ b/internal/core/catalog/restore_test.go
@@ -87,6 +87,49 @@
 	require.Equal(t, steering.Unreachable, fill(c, 2*second).Services["s"].Servers[0].ProbeResult)
 }
 
+// Guards against flows to a withdrawn zone whose withdrawal a copy lacks, and against a zone
+// that never returns if operators do not withdraw it again.
+func TestZoneWithdrawnStaysOutOfServiceAfterARestore(t *testing.T) {
+	c := newCatalog()
+	c.SetRegistryReachable(1, true)
+	listed := Entry{Key: "servers/a", Revision: 3, Server: serverEntry("a", 1, nil)}
+	c.put(1, 10, listed.Server)
+	c.Apply(2, &Entry{Key: "zone/z", Revision: 11, Withdrawn: "z"})
+	c.restore(second, listed)
+	release := func(now model.Time) (n int) {
+		removals, _ := c.ReleaseHeld(now, 5)
+		for i := range removals {
+			require.Equal(t, ZoneReturned, c.Apply(now, &removals[i]))
+		}
+		return len(removals)
+	}
+	require.Zero(t, release(2*second))
+	require.Empty(t, eligible(c, 2*second))
+	c.SetRegistryReachable(2*second, false)
+	require.Zero(t, release(9*second), "operators cannot have written it again")
+	c.SetRegistryReachable(9*second, true)
+	require.Zero(t, release(10*second))
+	require.Equal(t, 1, release(12*second))
+	require.Equal(t, []string{"a"}, eligible(c, 12*second))
+
+	c.Apply(13*second, &Entry{Key: "zone/z", Revision: 6, Withdrawn: "z"})
+	c.restore(14*second, listed)
+	c.Apply(15*second, &Entry{Key: "zone/z", Revision: 7, Withdrawn: "z"})
+	require.Zero(t, release(20*second), "operators withdrew it again")
+	require.Empty(t, eligible(c, 20*second))
+}
+
+// Guards against an instance that gets the listing of another one and does not know that a zone
+// in it is out of service as of an earlier epoch only.
+func TestHeldZoneOfAnotherInstanceIsHeld(t *testing.T) {
+	c := newCatalog()
+	c.SetRegistryReachable(1, true)
+	c.Apply(second, &Entry{Key: "zone/z", Withdrawn: "z"})
+	require.Equal(t, 1, c.HeldZones())
+	removals, _ := c.ReleaseHeld(4*second, 5)
+	require.Len(t, removals, 1)
+}
+
 // Guards against a server that counts as ended because its entry is missing right after a
 // restore, and whose open flows are then reset.
 func TestServersMayReturnAfterARestore(t *testing.T) {
