status, savoryctl: epoch of the registry, time since its restore, and the cause it explains

The view of an instance now states how far it goes with the registry: epoch, revision, time since the last restore and zones held out of service, in /status, /metrics (registry_epoch, registry_revision, held_zones) and a line of 'savoryctl beliefs'.

--- a/internal/adapter/operatorcli/beliefs.go
+++ b/internal/adapter/operatorcli/beliefs.go
@@ -8,8 +8,8 @@
 	"github.com/savorytiller/savorytiller/internal/adapter/steerstatus"
 )
 
-// beliefsCommand shows the view of a savorysteer instance: its configuration, and
-// the servers with their state and the age of the last probe.
+// beliefsCommand shows the view of a savorysteer instance: its configuration, how far it goes
+// with the registry, and the servers with their state and the age of the last probe.
 type beliefsCommand struct{}
 
 // Run shows the status of the instance. It returns errRefused if the instance is not
@@ -23,6 +23,11 @@
 		age := time.Duration(s.ConfirmedMsAgo) * time.Millisecond
 		fmt.Fprintf(w, "instance %s in %s: ready %v, configuration %d with %d routes, confirmed %v ago, %d instances in the zone, cut off %v, %d flows\n",
 			s.Instance, s.Zone, s.Ready, s.Version, s.Routes, age, s.InstancesInZone, s.CutOff, s.Flows)
+		restored := "no restore seen"
+		if s.RestoredMsAgo >= 0 {
+			restored = fmt.Sprintf("restored from a copy %v ago", time.Duration(s.RestoredMsAgo)*time.Millisecond)
+		}
+		fmt.Fprintf(w, "registry epoch %d, revision %d, %s, %d zones held out of service\n", s.RegistryEpoch, s.RegistryRevision, restored, s.HeldZones)
 		for i := range s.Servers {
 			x := &s.Servers[i]
 			probed := "never probed"
--- a/internal/adapter/operatorcli/why.go
+++ b/internal/adapter/operatorcli/why.go
@@ -60,6 +60,7 @@
 	CutOff   bool      `json:"cut_off,omitempty"`
 	Version  uint64    `json:"version,omitempty"`
 	Revision uint64    `json:"revision,omitempty"`
+	Epoch    uint64    `json:"epoch,omitempty"`
 	// Source is the last word before the JSON object of a line. In collected logs
 	// that is the instance's name.
 	Source string `json:"source,omitempty"`
@@ -104,6 +105,9 @@
 				fmt.Fprintf(w, " %s=%s", f.name, f.value)
 			}
 		}
+		if l.Epoch != 0 {
+			fmt.Fprintf(w, " epoch=%d revision=%d", l.Epoch, l.Revision)
+		}
 		fmt.Fprintln(w)
 	}
 }
--- a/internal/adapter/operatorcli/why_test.go
+++ b/internal/adapter/operatorcli/why_test.go
@@ -99,6 +99,29 @@
 	}
 }
 
+// Log lines of three instances around a restore of the registry. n3 started after it and read
+// the configuration of the copy.
+const restoreLog = `
+  0.5 n1 {"level":"info","ts":"2026-06-19T00:40:00.500Z","msg":"registry: configuration in force","version":12,"revision":44,"routes":14,"services":2}
+  0.9 n1 {"level":"info","ts":"2026-06-19T00:40:00.900Z","msg":"registry: registry restored from a copy","epoch":2,"revision":30,"known_epoch":1,"known_revision":44}
+  1.0 n3 {"level":"info","ts":"2026-06-19T00:40:01.000Z","msg":"registry: configuration in force","version":5,"revision":21,"routes":13,"services":2}
+  2.0 n3 {"level":"info","ts":"2026-06-19T00:40:02.000Z","msg":"flow: flow reset","caller":"100.64.0.1:1001","route":"198.18.0.9:80","reason":"unknown_service","copy":0,"version":5}
+  2.1 n1 {"level":"info","ts":"2026-06-19T00:40:02.100Z","msg":"flow: flow reset","caller":"100.64.0.2:1002","route":"198.18.0.8:80","reason":"unknown_service","copy":0,"version":12}
+  9.0 n3 {"level":"info","ts":"2026-06-19T00:40:09.000Z","msg":"flow: flow reset","caller":"100.64.0.3:1003","route":"198.18.0.9:80","reason":"unknown_service","copy":0,"version":5}
+`
+
+// Guards against a refusal by the configuration of a copy that is put down to the operators, and
+// against one by the latest configuration that is put down to the copy.
+func TestWhyNamesARestoreOfTheRegistry(t *testing.T) {
+	log := writeTempFile(t, restoreLog)
+	for flow, want := range map[string]string{"100.64.0.1:1001": causeRegistryRestored,
+		"100.64.0.2:1002": causeNoRoute, "100.64.0.3:1003": causeNoRoute} {
+		_, out, _ := runCommand(t, "why", flow, log)
+		require.True(t, strings.HasPrefix(out, "flow "+flow+": "+want+"\n"), "%s", out)
+		require.Equal(t, flow != "100.64.0.3:1003", strings.Contains(out, "epoch=2 revision=30"), out)
+	}
+}
+
 type snapshotReader struct{ s *steering.Snapshot }
 
 func (r snapshotReader) Snapshot() *steering.Snapshot { return r.s }
@@ -117,13 +140,15 @@
 	recorder.Observe("answer", "s", "r", 5e6)
 	source := &steerstatus.Source{Instance: "n1", Clock: fixedClock(3e9), Ready: func() bool { return true },
 		Flows: func() int64 { return 7 }, Metrics: recorder.Snapshot, Gauges: func() map[string]float64 { return map[string]float64{"registry_checks": 4} },
-		Snapshots: snapshotReader{&steering.Snapshot{Version: 9, Zone: "z", ConfirmedAt: 2e9, Servers: steering.NewTokenIndex(servers)}}}
+		Snapshots: snapshotReader{&steering.Snapshot{Version: 9, Zone: "z", ConfirmedAt: 2e9,
+			Registry: steering.RegistryView{Epoch: 2, Revision: 30, RestoredAt: 1e9, HeldZones: 1}, Servers: steering.NewTokenIndex(servers)}}}
 	server := httptest.NewServer(source.Server().Handler)
 	defer server.Close()
 
 	code, out, errOut := runCommand(t, "--address", server.Listener.Addr().String(), "beliefs")
 	require.Equal(t, ExitOK, code, errOut)
-	for _, text := range []string{"configuration 9", "confirmed 1s ago", "unreachable probed 2s ago", "departed", "never probed"} {
+	for _, text := range []string{"configuration 9", "confirmed 1s ago", "unreachable probed 2s ago", "departed", "never probed",
+		"registry epoch 2, revision 30, restored from a copy 2s ago, 1 zones held"} {
 		require.Contains(t, strings.Join(strings.Fields(out), " "), text)
 	}
 	response, err := server.Client().Get(server.URL + steerstatus.MetricsPath)
@@ -135,7 +160,8 @@
 		body.Write(buffer[:n])
 	}
 	for _, line := range []string{`count{part="flow",reason="known_flow"} 1`, `latency_ms{metric="answer",tenant="s",class="r",quantile="0.5"} 5.0`,
-		"config_version 9", "confirmed_age_ms 1000", "servers_unreachable 1", "registry_checks 4", "flows 7"} {
+		"config_version 9", "confirmed_age_ms 1000", "servers_unreachable 1", "registry_checks 4", "flows 7",
+		"registry_epoch 2", "registry_revision 30", "held_zones 1"} {
 		require.Contains(t, body.String(), line+"\n")
 	}
 }
--- a/internal/adapter/operatorcli/whycause.go
+++ b/internal/adapter/operatorcli/whycause.go
@@ -1,31 +1,33 @@
 package operatorcli
 
 import (
+	"slices"
 	"strings"
 	"time"
 )
 
 // Causes of what happened to a flow, as printed to operators.
 const (
-	causeUnknown         = "unknown: the log has no line about this flow"
-	causeServed          = "none: the flow was placed, and the log shows no failure of its server or instance"
-	causeServerFailed    = "the server could not be reached; the flow was reset so that the caller can retry"
-	causeServerRemoved   = "the server ended or was removed from the registry; its flows were reset"
-	causeServerSilent    = "the server did not answer a probe while the flow was open"
-	causeServerEnded     = "the server had ended: its port was closed, or another server used its address"
-	causeServerRestarted = "the server ended and started again"
-	causeServerLeft      = "the server's entry was removed while the flow was open"
-	causeNoRoute         = "the configuration in force has no route to this address"
-	causeRouteRemoved    = "a configuration removed the route of the flow"
-	causeUnknownToken    = "the instance did not know the server whose token the packets carry"
-	causeNoServer        = "no server of the service could accept a new flow"
-	causeNoConfiguration = "the instance had no configuration yet"
-	causeRegistryLost    = "the instance had lost contact with the registry and may have used an outdated view"
-	causeInstanceKilled  = "the instance that carried the flow ended without a planned stop and started again"
-	causeInstanceStopped = "the instance that carried the flow had been asked to stop and was shutting down"
-	causeZoneCut         = "the zone of the instance was cut off from the others"
-	causeInstancePaused  = "the process of the instance that carried the flow was paused"
-	causeAfterOutage     = "the instance had just started: the callers that had waited connected all at once, and servers may have been full"
+	causeUnknown          = "unknown: the log has no line about this flow"
+	causeServed           = "none: the flow was placed, and the log shows no failure of its server or instance"
+	causeServerFailed     = "the server could not be reached; the flow was reset so that the caller can retry"
+	causeServerRemoved    = "the server ended or was removed from the registry; its flows were reset"
+	causeServerSilent     = "the server did not answer a probe while the flow was open"
+	causeServerEnded      = "the server had ended: its port was closed, or another server used its address"
+	causeServerRestarted  = "the server ended and started again"
+	causeServerLeft       = "the server's entry was removed while the flow was open"
+	causeNoRoute          = "the configuration in force has no route to this address"
+	causeRouteRemoved     = "a configuration removed the route of the flow"
+	causeUnknownToken     = "the instance did not know the server whose token the packets carry"
+	causeNoServer         = "no server of the service could accept a new flow"
+	causeNoConfiguration  = "the instance had no configuration yet"
+	causeRegistryLost     = "the instance had lost contact with the registry and may have used an outdated view"
+	causeRegistryRestored = "the registry had been restored from a copy that lacked its latest changes"
+	causeInstanceKilled   = "the instance that carried the flow ended without a planned stop and started again"
+	causeInstanceStopped  = "the instance that carried the flow had been asked to stop and was shutting down"
+	causeZoneCut          = "the zone of the instance was cut off from the others"
+	causeInstancePaused   = "the process of the instance that carried the flow was paused"
+	causeAfterOutage      = "the instance had just started: the callers that had waited connected all at once, and servers may have been full"
 )
 
 var causeOfReason = map[string]string{
@@ -34,6 +36,14 @@
 	"no_configuration": causeNoConfiguration,
 }
 
+// viewWasBehind reports whether a flow was reset for lack of a route by an older configuration
+// than one that some instance had in force before.
+func viewWasBehind(reset *logLine, lines []logLine) bool {
+	return (reset.Reason == "unknown_service" || reset.Reason == "route_removed") && slices.ContainsFunc(lines, func(l logLine) bool {
+		return l.Message == "registry: configuration in force" && l.At.Before(reset.At) && l.Version > reset.Version
+	})
+}
+
 // causeWindow is the longest time between the failure and an event that counts as
 // its cause. It covers a caller's deadline and the time that a registry takes to
 // notice a dead server.
@@ -107,7 +117,7 @@
 			continue
 		}
 		e.Lines = append(e.Lines, *l)
-		if causeWeight > weight && (e.Cause == causeServed || weight > 0) {
+		if causeWeight > weight && (e.Cause == causeServed || weight > 0 || cause == causeRegistryRestored && viewWasBehind(last, lines)) {
 			e.Cause, weight = cause, causeWeight
 		}
 	}
@@ -188,6 +198,8 @@
 		return causeServerSilent, serverEvidence
 	case h.server != "" && l.Message == "registry: server removed" && strings.HasSuffix(l.Key, "/"+h.server):
 		return causeServerLeft, serverEvidence
+	case l.Message == "registry: registry restored from a copy" && l.At.Before(h.failedAt):
+		return causeRegistryRestored, weakEvidence
 	case own && l.Message == "registry: registry lost":
 		return causeRegistryLost, weakEvidence
 	default:
--- a/internal/adapter/steerstatus/status.go
+++ b/internal/adapter/steerstatus/status.go
@@ -40,6 +40,16 @@
 	// ConfirmedMsAgo is the time in milliseconds since this view was last confirmed to
 	// match the registry.
 	ConfirmedMsAgo int64 `json:"confirmed_ms_ago"`
+	// RegistryEpoch and RegistryRevision are how far this view goes with the registry. The
+	// epoch increases each time the registry is restored from a copy.
+	RegistryEpoch    uint64 `json:"registry_epoch"`
+	RegistryRevision uint64 `json:"registry_revision"`
+	// RestoredMsAgo is the time in milliseconds since this view followed the last restore,
+	// or -1 if there was none.
+	RestoredMsAgo int64 `json:"restored_ms_ago"`
+	// HeldZones is the number of zones out of service whose withdrawal the restored registry
+	// lacks.
+	HeldZones int `json:"held_zones"`
 	// CutOff is set while no messages arrive from instances of other zones.
 	CutOff bool `json:"cut_off"`
 	// InstancesInZone is the number of live instances in the zone, including this one.
@@ -91,13 +101,17 @@
 }
 
 func (s *Source) status() Status {
-	out := Status{Instance: s.Instance, Ready: s.Ready(), Flows: s.Flows(), Servers: []Server{}}
+	out := Status{Instance: s.Instance, Ready: s.Ready(), Flows: s.Flows(), RestoredMsAgo: -1, Servers: []Server{}}
 	v, now := s.Snapshots.Snapshot(), s.Clock.Now()
 	if v == nil {
 		return out
 	}
 	out.Zone, out.Version, out.Routes = string(v.Zone), v.Version, len(v.Routes)
 	out.ConfirmedMsAgo, out.CutOff, out.InstancesInZone = now.Sub(v.ConfirmedAt).Milliseconds(), v.CutOff, v.InstancesInZone
+	out.RegistryEpoch, out.RegistryRevision, out.HeldZones = v.Registry.Epoch, v.Registry.Revision, v.Registry.HeldZones
+	if v.Registry.RestoredAt != 0 {
+		out.RestoredMsAgo = now.Sub(v.Registry.RestoredAt).Milliseconds()
+	}
 	for _, server := range v.Servers.Sorted() {
 		probed := int64(-1)
 		if server.ProbeSentAt != 0 {
@@ -147,6 +161,8 @@
 	gauges["flows"] = float64(status.Flows)
 	gauges["config_version"] = float64(status.Version)
 	gauges["confirmed_age_ms"] = float64(status.ConfirmedMsAgo)
+	gauges["registry_epoch"], gauges["registry_revision"] = float64(status.RegistryEpoch), float64(status.RegistryRevision)
+	gauges["held_zones"] = float64(status.HeldZones)
 	gauges["instances_in_zone"] = float64(status.InstancesInZone)
 	states := map[string]int{}
 	for i := range status.Servers {
--- a/internal/core/steering/types.go
+++ b/internal/core/steering/types.go
@@ -191,6 +191,8 @@
 	// ConfirmedAt is the latest time at which the snapshot was known to be up to date
 	// with the registry.
 	ConfirmedAt model.Time
+	// Registry is how far the snapshot goes, for operators.
+	Registry RegistryView
 	// FreshFor is the time after ConfirmedAt for which a missing route is taken as
 	// removed or never added. It is shorter than the time within which a new
 	// configuration must be in force.
@@ -202,6 +204,17 @@
 	IdleTimeout, Lifetime time.Duration
 }
 
+// RegistryView is how far a snapshot goes with the registry. Epoch increases each time the
+// registry is restored from a copy, and revisions count within an epoch.
+type RegistryView struct {
+	Epoch, Revision uint64
+	// RestoredAt is when this instance followed the last restore; 0 for never.
+	RestoredAt model.Time
+	// HeldZones is the number of zones that stay out of service because the restored
+	// registry lacks their withdrawal and operators may still write it again.
+	HeldZones int
+}
+
 // String returns the result in the form used in logs.
 func (p ProbeResult) String() string {
 	return [...]string{"unknown", "reachable", "unreachable", "ended"}[p]
