control: a watch of the configuration service after an outage returns at once

Callers of savorytillerd could see a release note in force up to 30 s late.

Cause: the known revision of release/latest was kept over a failed watch. A service that is restored from a copy meanwhile gives that revision out again; a watch for another one then waits for the service's time limit. Change: after a failed watch the next one knows no revision.

Evidence: TestNoteOfARestoredServiceIsInForce failed before (version 6 instead of 7 after 6 s).

--- a/internal/control/notes.go
+++ b/internal/control/notes.go
@@ -149,6 +149,9 @@
 
 func (m *machine) handleWatched(e evWatched) {
 	m.scheduler.Done(m.now, e.err == nil)
+	// After an outage the service may have been restored from a copy and give out the known
+	// revision again, so the next watch must return at once.
+	m.notes.revision = 0
 	if e.err == nil {
 		m.notes.revision = e.revision
 		m.handleLatest(e.value)
--- a/internal/control/notes_test.go
+++ b/internal/control/notes_test.go
@@ -188,3 +188,26 @@
 		require.Less(t, calls, 2*len(s.ids), "calls in second %d", second)
 	}
 }
+
+// Guards against a watch that waits for a change that it cannot see: after a restore from a
+// copy the service gives out revisions again, so that the known one may belong to another note.
+func TestNoteOfARestoredServiceIsInForce(t *testing.T) {
+	s := newSim(6)
+	s.publish(initialBody(2, "a", "b"))
+	s.fleet(3, "a", "b")
+	s.run(3 * time.Second)
+	for w := 1; w <= 5; w++ {
+		s.publish(weightBody("a-s0", "a", 5000, w))
+		s.run(time.Second)
+	}
+	s.configService.down = true
+	s.notifyWatches()
+	s.run(2 * time.Second)
+	s.publish(weightBody("a-s0", "a", 5000, 7))
+	s.configService.revision-- // the revision that version 6 had before the restore
+	s.configService.down = false
+	s.run(6 * time.Second)
+	for id, n := range s.nodes {
+		require.Equal(t, model.Version(7), n.m.version(), id)
+	}
+}
