--- a/internal/control/registry/fleet_test.go
+++ b/internal/control/registry/fleet_test.go
@@ -175,13 +175,15 @@
 	return f
 }
 
-func (f *fleet) start(i, zones int) {
+func (f *fleet) start(i, zones int) { f.startWithIncarnation(i, zones, model.Incarnation(f.now+1)) }
+
+func (f *fleet) startWithIncarnation(i, zones int, incarnation model.Incarnation) {
 	at := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, 0, byte(i)}), 7000)
 	f.byAddr[at] = i
 	f.nodes[i] = newMachine(Options{Seed: uint64(i + 1), Log: logr.Discard(), Catalog: catalog.Settings{Lifetime: time.Minute, UnlistedGrace: 2 * time.Second}, ConfigBound: 3 * time.Second,
 		Seeds: []netip.AddrPort{netip.MustParseAddrPort("10.1.0.0:7000")},
 		Self: model.Member{ID: model.InstanceID(fmt.Sprintf("n%02d", i)), Zone: model.Zone(fmt.Sprintf("z%d", i%zones)),
-			Incarnation: model.Incarnation(f.now + 1), PeerAddress: at}})
+			Incarnation: incarnation, PeerAddress: at}})
 	f.alive[i], f.snapshots[i] = true, nil
 	f.post(f.now+model.Time(f.random.IntN(300))*ms, i, nil)
 }
--- a/internal/control/registry/peers_test.go
+++ b/internal/control/registry/peers_test.go
@@ -315,3 +315,25 @@
 		require.True(t, m.registryReachable, "instance %d", i)
 	}
 }
+
+// Guards against an instance that stays leaving or dead for the others after its restart,
+// because its time of day was set back and its incarnation is lower than its former one.
+func TestInstanceWithALowerIncarnationJoinsAgain(t *testing.T) {
+	for _, planned := range []bool{true, false} {
+		f := newRunningFleet(t, 6, 2)
+		f.kill(3)
+		f.startWithIncarnation(3, 2, 1000)
+		f.run(5 * time.Second)
+		if planned {
+			f.nodes[3].handle(f.now, evLeave{})
+			f.run(time.Second)
+		}
+		f.kill(3)
+		f.run(500 * time.Millisecond)
+		f.startWithIncarnation(3, 2, 500)
+		f.run(4 * time.Second)
+		for i, m := range f.nodes {
+			require.Equal(t, 6, m.peers.members.LiveCount(), "instance %d, planned %v", i, planned)
+		}
+	}
+}
