--- a/internal/control/notes.go
+++ b/internal/control/notes.go
@@ -65,6 +65,8 @@
 	// service, 0 to read it again.
 	latest   note.Latest
 	revision uint64
+	// serviceBehind is set while the service announces an older version than the one in force.
+	serviceBehind bool
 	// skipUpTo is the highest refused version, 0 for none; later versions can still be
 	// applied.
 	skipUpTo        model.Version
@@ -170,6 +172,10 @@
 	n := &m.notes
 	n.latest = latest
 	n.newestKnown = max(n.newestKnown, latest.Version)
+	if older := latest.Version < m.version(); older != n.serviceBehind {
+		n.serviceBehind = older
+		m.options.Log.Info("configuration service compared with the note in force", "announced", latest.Version, "version", m.version(), "behind", older)
+	}
 	if latest.Version == m.version() && latest.HasDigest && latest.Version > 0 && latest.Digest != n.config.Digest {
 		m.recordConflict(fmt.Sprintf("the service announces version %d with digest %016x, in force is %016x",
 			latest.Version, latest.Digest, n.config.Digest))
--- a/internal/control/notes_test.go
+++ b/internal/control/notes_test.go
@@ -211,3 +211,34 @@
 		require.Equal(t, model.Version(7), n.m.version(), id)
 	}
 }
+
+// Guards against a note that operators publish with a version that a restored service gives out
+// again: instances cannot use it, and operators must be able to see why.
+func TestNeverRevertsToARestoredServiceAndShowsIt(t *testing.T) {
+	s := newSim(6)
+	s.publish(initialBody(2, "a"))
+	s.fleet(3, "a")
+	copied := s.configService.snapshot()
+	for w := 1; w <= 3; w++ {
+		s.publish(weightBody("a-s0", "a", 5000, w))
+		s.run(time.Second)
+	}
+	s.configService.values, s.configService.revision = copied, 1
+	s.notifyWatches()
+	s.run(5 * time.Second)
+	behind := 0
+	for id, n := range s.nodes {
+		require.Equal(t, model.Version(4), n.m.version(), id)
+		if n.m.notes.serviceBehind {
+			behind++
+		}
+	}
+	require.Positive(t, behind, "the watchers see it")
+	s.configService.revision = 4
+	s.publish(weightBody("a-s0", "a", 5000, 9))
+	s.run(5 * time.Second)
+	for id, n := range s.nodes {
+		require.Equal(t, model.Version(5), n.m.version(), id)
+		require.False(t, n.m.notes.serviceBehind, id)
+	}
+}
