registry: zones held out of service reach instances that start

Callers could see flows to a withdrawn zone through an instance that started after a restore of the registry and got the listing of another one: its entries of held zones have revision 0 and were left out as not newer than an empty view. TestZoneWithdrawnIsHeldByInstancesThatStart failed before (0 held zones instead of 1).

--- a/internal/control/registry/feed.go
+++ b/internal/control/registry/feed.go
@@ -114,7 +114,11 @@
 		m.enterEpoch(&listing)
 		after = 0
 	}
-	changes := append(m.catalog.ImpliedRemovals(&listing), entriesAfter(after, listing.Entries)...)
+	newer := listing.Entries
+	if after != 0 {
+		newer = entriesAfter(after, newer)
+	}
+	changes := append(m.catalog.ImpliedRemovals(&listing), newer...)
 	slices.SortStableFunc(changes, func(a, b catalog.Entry) int { return cmp.Compare(a.Revision, b.Revision) })
 	m.feed.listed, m.feed.epoch = true, listing.Epoch
 	if after == 0 {
--- a/internal/control/registry/restore_test.go
+++ b/internal/control/registry/restore_test.go
@@ -215,3 +215,15 @@
 		}
 	}
 }
+
+// Guards against an instance that starts after a restore, gets the listing of another one and
+// leaves out the zones that are out of service as of an earlier epoch only.
+func TestZoneWithdrawnIsHeldByInstancesThatStart(t *testing.T) {
+	m := newRunningFleet(t, 1, 1).nodes[0]
+	m.feed, m.catalog = feed{generation: m.feed.generation}, catalog.New(catalog.Settings{Lifetime: time.Minute, UnlistedGrace: 2 * time.Second})
+	listing := newListing(m, 2, 9)
+	listing.Entries = append(listing.Entries, catalog.Entry{Key: "zones/z0", Withdrawn: "z0"})
+	m.handle(m.now, evMessage{listing})
+	require.Equal(t, catalog.Position{Epoch: 2, Revision: 9}, m.feed.position())
+	require.Equal(t, 1, m.catalog.HeldZones())
+}
