registry: messages of an earlier epoch are ignored also while the registry is listed

Cause: an instance that lists the registry again took any complete listing of another instance. One from an instance that had not followed the restore took it back to the previous epoch. TestListingOfAnEarlierEpochIsIgnored failed before (epoch 1 instead of 2).

--- a/internal/control/registry/changes.go
+++ b/internal/control/registry/changes.go
@@ -30,7 +30,7 @@
 				}
 			}
 		}
-	case !m.feed.listed && m.registryReachable, m.feed.listed && !position.After(m.feed.position()):
+	case !m.feed.listed && m.registryReachable, m.feed.listed && !position.After(m.feed.position()), position.Epoch < m.feed.epoch:
 		// This instance is listing the registry, or the sender has an older view.
 	default:
 		m.schedulePull(message.From, position, pullDelay)
@@ -134,7 +134,7 @@
 func (m *machine) receiveChanges(message *peer.Message) {
 	f, position := &m.feed, message.Position()
 	switch {
-	case f.listed && !position.After(f.position()):
+	case position.Epoch < f.epoch || f.listed && !position.After(f.position()):
 		return
 	case message.AfterRevision == 0: // a complete listing
 	case f.listed && (position.Epoch != f.epoch || message.AfterRevision > f.revision || message.Compacted && message.AfterRevision != f.revision):
--- a/internal/control/registry/fleet_test.go
+++ b/internal/control/registry/fleet_test.go
@@ -6,7 +6,6 @@
 	"math/rand/v2"
 	"net/netip"
 	"slices"
-	"testing"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -141,9 +140,15 @@
 	}
 }
 
+// testingT is a test or a check of a property test, which can repeat its failures.
+type testingT interface {
+	require.TestingT
+	Fatalf(format string, args ...any)
+}
+
 // fleet runs the machines of several instances with a simulated registry and network.
 type fleet struct {
-	t         *testing.T
+	t         testingT
 	store     *store
 	nodes     []*machine
 	alive     []bool
@@ -165,7 +170,7 @@
 
 // newFleet returns instances in zones z0, z1, ... that have the first instance as their
 // seed.
-func newFleet(t *testing.T, n, zones int) *fleet {
+func newFleet(t testingT, n, zones int) *fleet {
 	f := &fleet{t: t, byAddr: map[netip.AddrPort]int{}, random: rand.New(rand.NewPCG(1, uint64(n))),
 		store: &store{epoch: 1, pastHistories: map[uint64][]catalog.Entry{}, entries: map[string]catalog.Entry{}, calls: map[string]int{}},
 		alive: make([]bool, n), snapshots: make([]*steering.Snapshot, n), nodes: make([]*machine, n)}
@@ -418,7 +423,7 @@
 }
 
 // newRunningFleet returns a fleet that has run for 10 s with configuration 3 and server a.
-func newRunningFleet(t *testing.T, n, zones int) *fleet {
+func newRunningFleet(t testingT, n, zones int) *fleet {
 	f := newFleet(t, n, zones)
 	f.store.config(3, 20)
 	f.store.server("a")
--- a/internal/control/registry/machine_test.go
+++ b/internal/control/registry/machine_test.go
@@ -56,7 +56,7 @@
 // catalog with the history of the registry.
 func TestCatalogsAreCompleteUnderRandomFaults(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
-		f := newRunningFleet(t, rapid.IntRange(3, 9).Draw(rt, "instances"), rapid.IntRange(1, 3).Draw(rt, "zones"))
+		f := newRunningFleet(rt, rapid.IntRange(3, 9).Draw(rt, "instances"), rapid.IntRange(1, 3).Draw(rt, "zones"))
 		zones := 3
 		version := uint64(10)
 		for range rapid.IntRange(5, 25).Draw(rt, "steps") {
--- a/internal/control/registry/restore_test.go
+++ b/internal/control/registry/restore_test.go
@@ -227,3 +227,17 @@
 	require.Equal(t, catalog.Position{Epoch: 2, Revision: 9}, m.feed.position())
 	require.Equal(t, 1, m.catalog.HeldZones())
 }
+
+// Guards against an instance that goes back to the previous epoch, because it lists the registry
+// again and gets the listing of an instance that has not followed the restore.
+func TestListingOfAnEarlierEpochIsIgnored(t *testing.T) {
+	f := newRunningFleet(t, 1, 1)
+	m := f.nodes[0]
+	m.handle(f.now, evMessage{newListing(m, 2, 9)})
+	m.relist()
+	m.registryReachable = false
+	m.handle(f.now, evMessage{newListing(m, 1, 40)})
+	require.EqualValues(t, 2, m.feed.epoch)
+	require.False(t, m.feed.listed)
+	require.Zero(t, m.peers.newest, "no pull from it")
+}
