catalog: a zone that another instance holds out of service does not stay so

Callers would see a zone's servers unused by an instance until operators withdraw and return the zone again. Cause: an instance that saw a withdrawal in the current epoch got the listing of one that saw it only in the previous epoch and held it. The held entry counted as present in the registry, so the removal that the listing implies was left out, and nothing ends a hold that is none. Change: an entry without a revision is not in the registry; it adds a hold where nothing is known, and removes nothing else. TestZoneReturnsAlthoughAnotherInstanceHoldsIt failed before.

--- a/internal/core/catalog/catalog.go
+++ b/internal/core/catalog/catalog.go
@@ -234,7 +234,8 @@
 func (c *Catalog) ImpliedRemovals(listing *Changes) []Entry {
 	present := make(map[string]bool, len(listing.Entries))
 	for i := range listing.Entries {
-		present[listing.Entries[i].Key] = true
+		// An entry without a revision is held by another instance and not in the registry.
+		present[listing.Entries[i].Key] = listing.Entries[i].Revision != 0
 	}
 	var removals []Entry
 	for key := range c.listed {
--- a/internal/core/catalog/restore_test.go
+++ b/internal/core/catalog/restore_test.go
@@ -143,3 +143,16 @@
 	require.True(t, c.Settled(12*second))
 	require.Empty(t, eligible(c, 12*second))
 }
+
+// Guards against a zone that stays out of service on an instance that saw its withdrawal in the
+// current epoch, because another one that saw it only in the previous epoch still holds it.
+func TestZoneReturnsAlthoughAnotherInstanceHoldsIt(t *testing.T) {
+	c := newCatalog()
+	c.SetRegistryReachable(1, true)
+	c.Apply(1, &Entry{Key: "zone/z", Revision: 8, Withdrawn: "z"})
+	listing := Changes{Revision: 20, Epoch: 2, Entries: []Entry{{Key: "zone/z", Withdrawn: "z"}}}
+	removals := c.ImpliedRemovals(&listing)
+	require.Len(t, removals, 1)
+	require.Equal(t, Unchanged, c.Apply(2, &listing.Entries[0]))
+	require.Equal(t, ZoneReturned, c.Apply(2, &removals[0]))
+}
