steering: flows to a service without servers are refused at once, with a reason of their own

Callers saw: nothing for 1.4 s, up to three times with their retries, while all zones of a service were withdrawn.

--- a/internal/core/catalog/snapshot.go
+++ b/internal/core/catalog/snapshot.go
@@ -13,7 +13,10 @@
 // instance is the one that may send new flows to a cold server.
 func (c *Catalog) Fill(now model.Time, s *steering.Snapshot, home func(model.ServerID, model.Zone) bool) model.Time {
 	b := builder{catalog: c, now: now, home: home}
-	s.IdleTimeout, s.Lifetime = c.settings.DefaultIdleTimeout, c.settings.Lifetime
+	s.IdleTimeout, s.Lifetime, s.Settled = c.settings.DefaultIdleTimeout, c.settings.Lifetime, c.Settled(now)
+	if c.reachableSince != 0 {
+		b.noteChangeAt(c.reachableSince.Add(c.settings.UnlistedGrace + 1))
+	}
 	if c.config != nil {
 		s.Version = c.config.Version
 		s.Routes = c.routes
--- a/internal/core/steering/steerer.go
+++ b/internal/core/steering/steerer.go
@@ -191,7 +191,7 @@
 	}
 	t := s.selectServer(service, avoid, now)
 	if t == nil {
-		return Decision{Reason: model.ReasonNoCapacity}
+		return s.decideWithoutServer(service, p, f == nil, now)
 	}
 	load := t.busy
 	s.addFlow(p, f, t, now)
@@ -224,6 +224,17 @@
 	return Decision{Reason: model.ReasonUnknownService}
 }
 
+// decideWithoutServer returns the decision about a SYN for which no server was selected. If the
+// service has no server that accepts flows, the caller is told at once. If it has some, the
+// next retransmission may find one with capacity. A retransmission is not refused, because
+// a server may have answered an earlier copy.
+func (s *Steerer) decideWithoutServer(service *Service, p *Packet, first bool, now model.Time) Decision {
+	if len(service.Servers) == 0 && first && p.Retransmissions == 0 && s.snapshot.Settled && s.snapshot.fresh(now) {
+		return Decision{Action: Reset, Reason: model.ReasonNoCapacity}
+	}
+	return Decision{Reason: model.ReasonNoCapacity}
+}
+
 // decideOpenFlow returns the decision about a packet that is not a SYN.
 func (s *Steerer) decideOpenFlow(p *Packet, now model.Time) Decision {
 	f := s.flows[p.Key]
--- a/internal/core/steering/types.go
+++ b/internal/core/steering/types.go
@@ -177,6 +177,9 @@
 	Version  uint64
 	Routes   map[Endpoint]*Route
 	Services map[string]*Service
+	// Settled is set if entries of servers that are missing in the registry are not expected
+	// to return, so a service without servers has none.
+	Settled bool
 	// Servers holds the listed servers and, for the lifetime of their flows, ended
 	// and unlisted ones.
 	Servers *TokenIndex
--- a/internal/traffic/packets/worker.go
+++ b/internal/traffic/packets/worker.go
@@ -103,7 +103,7 @@
 		w.send(decision.Server.Address, o.Codec.Encapsulate(buffer, decision.Server, decision.Server.Token))
 	case steering.Reset:
 		o.Recorder.Count(partReset, decision.Reason)
-		datagram, caller := o.Codec.Reset(w.reset[:], p)
+		datagram, caller := o.Codec.Reset(w.reset[:], p, decision.Reason)
 		w.send(caller, datagram)
 	}
 	w.flows.Store(int64(o.Steerer.Flows()))
@@ -130,7 +130,7 @@
 		w.packet = p
 		decision := steering.Decision{Action: steering.Reset, Reason: model.ReasonServerFailed, Server: snapshot.Servers.Find(p.Token)}
 		o.Recorder.Count(partReset, decision.Reason)
-		datagram, caller := o.Codec.Reset(w.reset[:], &p)
+		datagram, caller := o.Codec.Reset(w.reset[:], &p, decision.Reason)
 		w.send(caller, datagram)
 		w.log(&decision, snapshot, now)
 	}
