--- a/internal/control/registry/feed.go
+++ b/internal/control/registry/feed.go
@@ -6,17 +6,11 @@
 	"slices"
 	"time"
 
-	"github.com/ansel1/merry/v2"
-
 	"github.com/savorytiller/savorytiller/internal/core/catalog"
 	"github.com/savorytiller/savorytiller/internal/core/model"
 	"github.com/savorytiller/savorytiller/internal/port"
 )
 
-// errEarlierEpoch means that the registry's answer is older than a restore that this instance
-// knows of.
-var errEarlierEpoch = merry.New("answer from before the registry was restored")
-
 // feed is the state of reading the registry by listings and watches.
 type feed struct {
 	// listed is set while the catalog is complete up to revision, which belongs to epoch. A
@@ -91,7 +85,7 @@
 		return
 	}
 	if e.changes.Epoch > f.epoch {
-		m.changesMissing(e.changes.Position())
+		m.changesMissing(e.changes.Position(), 0)
 		return
 	}
 	// After this pause, further changes of the same burst are read by a single call.
@@ -138,32 +132,6 @@
 	}
 }
 
-// enterEpoch prepares for the first listing of a new epoch. Its entries may be older than
-// what the catalog knows.
-func (m *machine) enterEpoch(listing *catalog.Changes) {
-	m.counts.Restores++
-	m.log.Info("registry restored from a copy", "epoch", listing.Epoch, "revision", listing.Revision, "known_epoch", m.feed.epoch,
-		"known_revision", m.feed.revision, "confirmed_ms_ago", m.now.Sub(m.confirmedAt).Milliseconds())
-	m.catalog.EnterEpoch(m.now)
-	m.feed.revision, m.restoredAt = 0, m.now
-	// A watch in progress continues from a revision of the previous epoch.
-	m.feed.generation++
-	m.feed.running = false
-	for i := range listing.Entries {
-		listing.Entries[i].Restored = true
-	}
-}
-
-// releaseHeldZones returns zones to service that operators have not withdrawn again in time
-// after a restore of the registry.
-func (m *machine) releaseHeldZones() {
-	removals, next := m.catalog.ReleaseHeld(m.now, m.feed.revision)
-	m.applyEntries(removals)
-	if next != 0 {
-		m.scheduleWake(next)
-	}
-}
-
 // configVersion returns the version of the configuration among the entries, or 0.
 func configVersion(entries []catalog.Entry) uint64 {
 	for i := range entries {
@@ -217,44 +185,11 @@
 	m.peers.pullAt = max(m.peers.pullAt, m.now.Add(pullDelay))
 	if m.missing != (catalog.Position{}) && !m.missing.After(m.feed.position()) {
 		m.missing = catalog.Position{}
-		m.confirmAndBroadcast(m.checkSentAt)
+		m.confirmAndBroadcast(m.missingAsOf)
 	}
 	return true
 }
 
-// missesChanges reports whether the registry is known to have more than the catalog.
-func (m *machine) missesChanges() bool { return m.missing.After(m.feed.position()) }
-
-// missesEpoch reports whether the registry is known to be in a later epoch than the catalog.
-// Only a listing helps then, because a watch delivers changes of one epoch.
-func (m *machine) missesEpoch() bool { return m.missing.Epoch > m.feed.epoch }
-
-// changesMissing records that the registry is at a position that the catalog lacks.
-func (m *machine) changesMissing(position catalog.Position) {
-	if !m.missesChanges() || position.Epoch > m.missing.Epoch {
-		m.missingSince = m.now
-	}
-	m.missing = position
-}
-
-// listingDelay is how long to wait for the missing changes before a listing. After a restore
-// of the registry the watcher lists it at once. What it reads reaches the relays and then
-// the other instances, each of which lists the registry only if that does not happen.
-func (m *machine) listingDelay() time.Duration {
-	switch {
-	case m.missesEpoch() && m.isWatcher():
-		return 0
-	case m.missesEpoch() && m.isRelay():
-		return relayListingDelay
-	case m.missesEpoch():
-		return zoneListingDelay + m.checkJitter
-	case m.isWatcher():
-		return watchDeliveryTimeout
-	default:
-		return catchUpTimeout
-	}
-}
-
 // readFailed schedules the next attempt. If the registry has compacted changes that a watch
 // needs, the next attempt is a listing without delay.
 func (m *machine) readFailed(e evChanges) {
@@ -369,7 +304,7 @@
 	switch {
 	case !m.feed.listed:
 	case e.position.After(m.feed.position()):
-		m.changesMissing(e.position)
+		m.changesMissing(e.position, m.checkSentAt)
 	default:
 		m.missing = catalog.Position{}
 		m.confirmAndBroadcast(m.checkSentAt)
--- a/internal/control/registry/machine.go
+++ b/internal/control/registry/machine.go
@@ -108,6 +108,7 @@
 	failedChecks      int
 	registryReachable bool
 	missing           catalog.Position // of the registry, while the catalog lacks it; zero for none
+	missingAsOf       model.Time       // when the registry was at that position
 	missingSince      model.Time
 	restoredAt        model.Time // when the catalog last entered a new epoch; 0 for never
 	confirmedAt       model.Time
