--- a/internal/adapter/peerudp/codec.go
+++ b/internal/adapter/peerudp/codec.go
@@ -19,9 +19,9 @@
 // Messages with another version are rejected.
 const formatVersion = 3
 
-// A message with an epoch is wrapped in a CBOR tag with the number epochTag + epoch.
-// Instances that don't know the tag ignore it, as CBOR asks for; a message without it has no
-// epoch.
+// A message with an epoch is wrapped in a CBOR tag with the number epochTag + epoch. Instances
+// of versions without epochs skip the tag, so they understand the message; one without a tag
+// has no epoch.
 const (
 	epochTag = 0x5354_0000
 	maxEpoch = 0xffff
--- a/internal/control/notes.go
+++ b/internal/control/notes.go
@@ -174,7 +174,11 @@
 	n.newestKnown = max(n.newestKnown, latest.Version)
 	if older := latest.Version < m.version(); older != n.serviceBehind {
 		n.serviceBehind = older
-		m.options.Log.Info("configuration service compared with the note in force", "announced", latest.Version, "version", m.version(), "behind", older)
+		message := "configuration service announces the note in force again"
+		if older {
+			message = "configuration service announces an older note than the one in force"
+		}
+		m.options.Log.Info(message, "announced", latest.Version, "version", m.version())
 	}
 	if latest.Version == m.version() && latest.HasDigest && latest.Version > 0 && latest.Digest != n.config.Digest {
 		m.recordConflict(fmt.Sprintf("the service announces version %d with digest %016x, in force is %016x",
