--- a/internal/control/registry/feed.go
+++ b/internal/control/registry/feed.go
@@ -37,7 +37,7 @@
 // the watcher use a watch only to read changes that a check has shown to be missing.
 func (m *machine) startRead() {
 	f := &m.feed
-	if f.running || f.listed && !m.isWatcher() && !m.missesChanges() || m.missesEpoch() && f.listed {
+	if f.running || f.listed && (m.missesEpoch() || !m.isWatcher() && !m.missesChanges()) {
 		return
 	}
 	if m.now.Before(f.nextReadAt) {
--- a/internal/core/catalog/snapshot.go
+++ b/internal/core/catalog/snapshot.go
@@ -14,8 +14,8 @@
 func (c *Catalog) Fill(now model.Time, s *steering.Snapshot, home func(model.ServerID, model.Zone) bool) model.Time {
 	b := builder{catalog: c, now: now, home: home}
 	s.IdleTimeout, s.Lifetime, s.Settled = c.settings.DefaultIdleTimeout, c.settings.Lifetime, c.Settled(now)
-	if c.reachableSince != 0 {
-		b.noteChangeAt(c.reachableSince.Add(c.settings.UnlistedGrace + 1))
+	if at, ok := c.graceEndsAt(0); ok {
+		b.noteChangeAt(at + 1) // Settled changes
 	}
 	if c.config != nil {
 		s.Version = c.config.Version
--- a/internal/core/catalog/unlisted.go
+++ b/internal/core/catalog/unlisted.go
@@ -34,7 +34,8 @@
 // Settled reports whether a server without an entry has certainly left: the registry has been
 // reachable for so long that entries which expired during an outage have been restored.
 func (c *Catalog) Settled(now model.Time) bool {
-	return c.reachableSince != 0 && now.Sub(c.reachableSince) > c.settings.UnlistedGrace
+	at, ok := c.graceEndsAt(0)
+	return ok && now.After(at)
 }
 
 // RunOf returns the run of a server of a snapshot.
