--- /dev/null
+++ b/review/lab/server.go
@@ -0,0 +1,283 @@
+package main
+
+import (
+	"encoding/binary"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+)
+
+const heartbeat = 1200 * time.Millisecond
+
+// Retransmissions of both ends.
+const (
+	firstRetransmission = 200 * time.Millisecond
+	lastRetransmission  = 1600 * time.Millisecond
+	maxRetransmissions  = 8
+)
+
+// opening is an opening packet that a server took.
+type opening struct {
+	key     flowKey
+	copy    uint32
+	arrived time.Time
+	cold    bool
+	server  string
+	run     int64
+}
+
+// server is a stand-in for a backend server. Its exported fields are set before start.
+type server struct {
+	lab                        *lab
+	ID, Service, Zone          string
+	Addr                       netip.AddrPort
+	Slots                      int
+	Work                       time.Duration
+	number                     uint64
+	mu                         sync.Mutex
+	conn                       *net.UDPConn
+	health                     *http.Server
+	born                       time.Time
+	coldUntil                  time.Time
+	draining, registered, mute bool // mute: it does not reach the store
+	sequence                   uint64
+	flows                      map[flowKey]*serverFlow
+	generation                 int
+	taken                      []opening
+}
+
+type serverFlow struct {
+	clientSeq, seq, next uint32 // next is the next byte expected from the client
+	acked                uint32
+	echo                 uint32
+	open, closed         bool
+	lastRequest          []byte
+	pending              *packet // the response that was not acknowledged yet
+}
+
+// start begins a new run of the server. cold is how long it stays cold; 0 for a warm start.
+func (s *server) start(cold time.Duration) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, err := fmt.Sscanf(s.ID, "i-%x", &s.number); err != nil {
+		return err
+	}
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(s.Addr))
+	if err != nil {
+		return err
+	}
+	listener, err := net.Listen("tcp4", s.Addr.String())
+	if err != nil {
+		_ = conn.Close()
+		return err
+	}
+	s.generation++
+	s.conn, s.born, s.coldUntil = conn, time.Now(), time.Now().Add(cold)
+	s.flows, s.draining, s.registered, s.sequence = map[flowKey]*serverFlow{}, false, false, 0
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /health", func(w http.ResponseWriter, _ *http.Request) {
+		time.Sleep(time.Millisecond)
+		w.Header().Set("Instance-Id", s.ID)
+		s.mu.Lock()
+		draining := s.draining
+		s.mu.Unlock()
+		if draining {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	s.health = &http.Server{Handler: mux}
+	go func(h *http.Server) { _ = h.Serve(listener) }(s.health)
+	go s.receive(conn, s.generation)
+	go s.beat(s.generation)
+	record("server %s (%s, %s): starts, cold for %v", s.ID, s.Service, s.Zone, cold)
+	return nil
+}
+
+// crash ends the run without a word.
+func (s *server) crash() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.generation++
+	_ = s.conn.Close()
+	_ = s.health.Close()
+	record("server %s: crashes with %d flows", s.ID, len(s.flows))
+}
+
+// drain announces the end of the run.
+func (s *server) drain() {
+	s.mu.Lock()
+	s.draining, s.registered = true, false
+	s.mu.Unlock()
+}
+
+// setMute cuts the server off from the store, or ends that.
+func (s *server) setMute(mute bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.mute = mute
+	record("server %s: cut off from the store = %v", s.ID, mute)
+}
+
+func (s *server) storeKey() string { return "servers/" + s.ID }
+
+// beat writes the entry at the start, at each change and every heartbeat, and repeats a write
+// that failed after 100 ms.
+func (s *server) beat(generation int) {
+	var lastCold int64 = -1
+	nextBeat := time.Now()
+	for {
+		s.mu.Lock()
+		if s.generation != generation {
+			s.mu.Unlock()
+			return
+		}
+		cold := max(0, time.Until(s.coldUntil).Milliseconds())
+		due := !time.Now().Before(nextBeat)
+		write := !s.registered || due && (cold > 0 || lastCold > 0)
+		state := "ready"
+		if s.draining {
+			state = "draining"
+		}
+		s.sequence++
+		entry := map[string]any{"Service": s.Service, "Address": s.Addr.String(), "Zone": s.Zone, "Version": "v1", "Slots": s.Slots,
+			"State": state, "WarmupLeftMs": cold, "Sequence": s.sequence, "born": s.born.UnixMilli()}
+		mute := s.mute
+		s.mu.Unlock()
+		if !mute && (write || due) {
+			ok := true
+			if write {
+				var at time.Time
+				if at, ok = s.lab.store.put(s.storeKey(), entry); ok {
+					lastCold = cold
+					s.mu.Lock()
+					if s.generation == generation && !s.registered {
+						s.registered = true
+						record("server %s: entry written: %s, cold for %d ms", s.ID, state, cold)
+						if state == "draining" {
+							s.lab.noteGone(s.ID, at)
+						}
+					}
+					s.mu.Unlock()
+				}
+			}
+			if ok && s.lab.store.renew(s.storeKey()) {
+				nextBeat = time.Now().Add(heartbeat)
+			}
+		}
+		time.Sleep(20 * time.Millisecond)
+		if !s.registered {
+			time.Sleep(80 * time.Millisecond)
+		}
+	}
+}
+
+func (s *server) receive(conn *net.UDPConn, generation int) {
+	buffer := make([]byte, 2048)
+	for {
+		n, _, err := conn.ReadFromUDPAddrPort(buffer)
+		s.mu.Lock()
+		if s.generation != generation {
+			s.mu.Unlock()
+			return
+		}
+		if err == nil && n >= 8 {
+			if id := binary.BigEndian.Uint64(buffer); id == s.number || id == 0 {
+				if p, valid, ok := decode(buffer[8:n]); ok && valid {
+					s.handle(&p, generation)
+				} else {
+					s.lab.violation("UNASKED", "server %s got a packet that no client wrote", s.ID)
+				}
+			}
+		}
+		s.mu.Unlock()
+	}
+}
+
+// handle processes a packet of a client.
+func (s *server) handle(p *packet, generation int) {
+	key := flowKey{p.Src, p.Dst}
+	f := s.flows[key]
+	if p.Flags&(flagSYN|flagACK) == flagSYN {
+		if f == nil || f.clientSeq != p.Seq {
+			f = &serverFlow{clientSeq: p.Seq, seq: rand.Uint32(), next: p.Seq + 1, echo: p.Echo}
+			f.acked = f.seq
+			s.flows[key] = f
+			s.taken = append(s.taken, opening{key, p.Ack, time.Now(), time.Now().Before(s.coldUntil), s.ID, s.born.UnixMilli()})
+		}
+		f.echo = p.Echo
+		s.send(key, f, flagSYN|flagACK, f.seq, nil)
+		return
+	}
+	if f == nil {
+		if p.Flags&flagRST == 0 {
+			record("server %s: unknown flow %v, reset", s.ID, key.Client)
+			s.send(key, &serverFlow{next: p.Seq + uint32(len(p.Data)), echo: p.Echo}, flagRST|flagACK, p.Ack, nil)
+		}
+		return
+	}
+	f.echo = p.Echo
+	if p.Flags&flagRST != 0 {
+		delete(s.flows, key)
+		return
+	}
+	if p.Ack == f.seq+1 && !f.open {
+		f.open, f.acked = true, f.seq+1
+		s.lab.opened(key, s.ID)
+	}
+	if !f.open {
+		return
+	}
+	if f.pending != nil && int32(p.Ack-(f.pending.Seq+uint32(len(f.pending.Data)))) >= 0 {
+		f.acked, f.pending = p.Ack, nil
+	}
+	switch {
+	case len(p.Data) > 0 && p.Seq == f.next:
+		f.next += uint32(len(p.Data))
+		data := p.Data
+		time.AfterFunc(s.Work, func() { s.respond(key, f, data, generation) })
+	case len(p.Data) > 0:
+		s.send(key, f, flagACK, f.acked, nil)
+	}
+	if p.Flags&flagFIN != 0 {
+		f.closed = true
+		s.send(key, f, flagFIN|flagACK, f.acked, nil)
+	}
+}
+
+// respond runs a request and sends its response until it is acknowledged.
+func (s *server) respond(key flowKey, f *serverFlow, request []byte, generation int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.generation != generation {
+		return
+	}
+	id := requestID(request)
+	s.lab.ran(id, s)
+	body := fmt.Sprintf("done by %s", s.ID)
+	response := fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Seal: %s\r\nContent-Length: %d\r\n\r\n%s", id, s.ID, len(body), body)
+	f.pending = &packet{Seq: f.acked, Data: []byte(response)}
+	s.transmit(key, f, f.pending, firstRetransmission, 0, generation)
+}
+
+func (s *server) transmit(key flowKey, f *serverFlow, p *packet, delay time.Duration, count, generation int) {
+	s.send(key, f, flagACK, p.Seq, p.Data)
+	if count == maxRetransmissions {
+		return
+	}
+	time.AfterFunc(delay, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if s.generation == generation && f.pending == p && s.flows[key] == f {
+			s.transmit(key, f, p, min(2*delay, lastRetransmission), count+1, generation)
+		}
+	})
+}
+
+func (s *server) send(key flowKey, f *serverFlow, flags byte, seq uint32, data []byte) {
+	p := packet{Src: key.Route, Dst: key.Client, Flags: flags, Echo: f.echo, Seq: seq, Ack: f.next, Data: data}
+	_, _ = s.conn.WriteToUDPAddrPort(p.encode(), netip.AddrPortFrom(key.Client.Addr, s.lab.flowPort))
+}
