--- a/review/lab/cases.go
+++ b/review/lab/cases.go
@@ -10,6 +10,7 @@
 var cases = map[string]func(*lab) error{
 	"restarted-server": restartedServer,
 	"silent-server":    silentServer,
+	"outlived-verdict": outlivedVerdict,
 }
 
 // Bounds of the deployment.
@@ -20,16 +21,14 @@
 
 var zones = []string{"halle-a", "halle-b", "halle-c", "qs-labor"}
 
-// startSmall starts a deployment like that of Falzwerk: seven instances in four zones and the
-// given number of servers in each zone.
-func startSmall(l *lab, serversPerZone, clientsPerZone int, work time.Duration) error {
+// startSmall starts a deployment like that of Falzwerk: seven instances in four zones, and a server
+// in each zone and a second one in one of them.
+func startSmall(l *lab, zoneOfSecond string, work time.Duration) error {
 	l.services = []map[string]any{{"Name": "line-ctl", "HealthPath": "/health", "ConnLimit": 2000, "Protocol": "h1", "Tls": false,
 		"WarmupS": 2.0, "WarmupPerS": coldPerSecond}}
-	for _, z := range zones {
-		for range serversPerZone {
-			if err := l.addServer("line-ctl", z, work).start(0); err != nil {
-				return err
-			}
+	for _, z := range append(zones, zoneOfSecond) {
+		if err := l.addServer("line-ctl", z, work).start(0); err != nil {
+			return err
 		}
 	}
 	l.configure()
@@ -45,7 +44,7 @@
 		l.router.add(i)
 	}
 	for _, z := range zones {
-		for range clientsPerZone {
+		for range 2 {
 			if _, err := l.addClient(z); err != nil {
 				return err
 			}
@@ -88,7 +87,7 @@
 // again under its id, cold for 2 s.
 func restartedServer(l *lab) error {
 	route := l.addRoute("line-ctl", "non_idempotent")
-	if err := startSmall(l, 1, 2, 24*time.Millisecond); err != nil {
+	if err := startSmall(l, "qs-labor", 24*time.Millisecond); err != nil {
 		return err
 	}
 	go l.sendChecks(route, 108, 14*time.Second)
@@ -141,7 +140,7 @@
 // instance that reads the store at that moment.
 func silentServer(l *lab) error {
 	route := l.addRoute("line-ctl", "non_idempotent")
-	if err := startSmall(l, 1, 2, 72*time.Millisecond); err != nil {
+	if err := startSmall(l, "qs-labor", 72*time.Millisecond); err != nil {
 		return err
 	}
 	go l.sendChecks(route, 83.3, 18*time.Second)
@@ -200,3 +199,94 @@
 		}
 	}
 }
+
+// feed sends a request on a flow and checks FLOW: a reset by the system while the server of the flow
+// lives and was not disturbed lately breaks it.
+func (l *lab) feed(f *clientFlow) outcome {
+	_, o := f.request(1500 * time.Millisecond)
+	if s := l.server(f); o == resetBySystem && s != nil {
+		record("client: flow %v:%d of server %s was reset by the system, server undisturbed = %v", f.key.Client.Addr, f.key.Client.Port, s.ID, s.undisturbed())
+		if s.undisturbed() {
+			l.violation("FLOW", "open flow %v:%d of server %s, which lives, was reset by the system", f.key.Client.Addr, f.key.Client.Port, s.ID)
+		}
+	}
+	return o
+}
+
+// openOn opens flows via an instance until one of them is open at the given server.
+func (l *lab) openOn(s *server, c *client, via *instance, route endpoint) (*clientFlow, error) {
+	for range 40 {
+		f, o := c.openVia(via.name, route)
+		if o != answered {
+			continue
+		}
+		if o = l.feed(f); o == answered && l.server(f) == s {
+			return f, nil
+		}
+		f.close()
+	}
+	return nil, errNotReady
+}
+
+// outlivedVerdict lets an instance find a server unreachable while it is cut off, and not know
+// whether it is reachable afterwards, because it is busy. Long after that, planned work brings a
+// flow of the server to the instance while another server leaves.
+func outlivedVerdict(l *lab) error {
+	route := l.addRoute("line-ctl", "idempotent")
+	if err := startSmall(l, "halle-a", 55*time.Millisecond); err != nil {
+		return err
+	}
+	s, x := l.servers[0], l.servers[4] // both in halle-a
+	s.Work = 250 * time.Millisecond
+	j, k := l.instances[0], l.instances[4] // both in halle-a
+	callers, others := l.clients[0], l.clients[2:4]
+	e, err := l.openOn(s, callers, j, route)
+	if err != nil {
+		return err
+	}
+	g, err := l.openOn(x, callers, j, route)
+	if err != nil {
+		return err
+	}
+	if l.trouble {
+		if err := s.setCut(true); err != nil {
+			return err
+		}
+	}
+	go l.feed(e)
+	time.Sleep(5 * time.Second)
+	if l.trouble {
+		if err := s.setCut(false); err != nil {
+			return err
+		}
+	}
+	for n := range 40 { // callers in the next zone, whose own server is full
+		go func() {
+			f, o := others[n%2].open(route)
+			for end := time.Now().Add(2500 * time.Millisecond); o == answered && time.Now().Before(end); {
+				o = l.feed(f)
+			}
+			f.close()
+		}()
+	}
+	time.Sleep(5 * time.Second)
+	l.feed(g)
+	x.drain()
+	time.Sleep(3500 * time.Millisecond)
+	f, err := l.openOn(s, callers, k, route)
+	if err != nil {
+		return err
+	}
+	x.leave()
+	left := time.Now()
+	go k.stop()
+	time.Sleep(1850*time.Millisecond - time.Since(left))
+	for range 3 {
+		if o := l.feed(f); o != answered {
+			break
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	time.Sleep(2 * time.Second)
+	return nil
+}
--- a/review/lab/client.go
+++ b/review/lab/client.go
@@ -112,9 +112,19 @@
 }
 
 // open opens a flow to a route.
-func (c *client) open(route endpoint) (*clientFlow, outcome) {
+func (c *client) open(route endpoint) (*clientFlow, outcome) { return c.openVia("", route) }
+
+// openVia opens a flow whose first packet the routers send to the given instance; "" for any.
+func (c *client) openVia(name string, route endpoint) (*clientFlow, outcome) {
 	c.mu.Lock()
 	c.port++
+	for range 1000 {
+		to := c.lab.router.route(c.zone, flowKey{endpoint{c.addr, c.port}, route})
+		if name == "" || to != nil && to.name == name {
+			break
+		}
+		c.port++
+	}
 	f := &clientFlow{client: c, key: flowKey{endpoint{c.addr, c.port}, route}, synSeq: rand.Uint32(), events: make(chan packet, 64)}
 	c.flows[c.port] = f
 	c.mu.Unlock()
--- a/review/lab/lab.go
+++ b/review/lab/lab.go
@@ -30,6 +30,7 @@
 
 	mu         sync.Mutex
 	openings   map[openingKey]sentOpening
+	serverOf   map[flowKey]string
 	requests   map[string]*request
 	gone       map[string]time.Time // when the store acknowledged that a server drains or is gone
 	violations map[string]int
@@ -79,7 +80,7 @@
 // newLab starts the store. All addresses are loopback addresses of a random network 127.x.
 func newLab(root, dir string, trouble bool) (*lab, error) {
 	l := &lab{root: root, dir: dir, trouble: trouble, openings: map[openingKey]sentOpening{}, requests: map[string]*request{},
-		gone: map[string]time.Time{}, violations: map[string]int{}, store: newStore(), nextID: 0x7f3a9100}
+		gone: map[string]time.Time{}, serverOf: map[flowKey]string{}, violations: map[string]int{}, store: newStore(), nextID: 0x7f3a9100}
 	l.router = &router{lab: l}
 	l.subnet = byte(20 + rand.IntN(200))
 	for _, p := range []*uint16{&l.flowPort, &l.readyPort, &l.peerPort, &l.metricsPort} {
@@ -194,9 +195,25 @@
 func (l *lab) seeds() []*instance { return l.instances[:3] }
 
 func (l *lab) opened(key flowKey, server string) {
+	l.mu.Lock()
+	l.serverOf[key] = server
+	l.mu.Unlock()
 	record("server %s: flow %v:%d open", server, key.Client.Addr, key.Client.Port)
 }
 
+// server returns the server that has a flow, or nil.
+func (l *lab) server(f *clientFlow) *server {
+	l.mu.Lock()
+	id := l.serverOf[f.key]
+	l.mu.Unlock()
+	for _, s := range l.servers {
+		if s.ID == id {
+			return s
+		}
+	}
+	return nil
+}
+
 func (l *lab) sent(id string, key flowKey) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/review/lab/server.go
+++ b/review/lab/server.go
@@ -48,6 +48,11 @@
 	flows                      map[flowKey]*serverFlow
 	generation                 int
 	taken                      []opening
+	slots                      chan struct{} // one entry for each slot in use
+	listener                   *pausableListener
+	cut                        bool      // no instance reaches the server
+	disturbedAt                time.Time // latest disruption of the server or its links
+	stopped                    bool
 }
 
 type serverFlow struct {
@@ -76,11 +81,12 @@
 		return err
 	}
 	s.generation++
+	s.slots, s.listener, s.stopped = make(chan struct{}, s.Slots), &pausableListener{Listener: listener}, false
 	s.conn, s.born, s.coldUntil = conn, time.Now(), time.Now().Add(cold)
 	s.flows, s.draining, s.registered, s.sequence = map[flowKey]*serverFlow{}, false, false, 0
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /health", func(w http.ResponseWriter, _ *http.Request) {
-		time.Sleep(time.Millisecond)
+		s.work(time.Millisecond)
 		w.Header().Set("Instance-Id", s.ID)
 		s.mu.Lock()
 		draining := s.draining
@@ -90,7 +96,7 @@
 		}
 	})
 	s.health = &http.Server{Handler: mux}
-	go func(h *http.Server) { _ = h.Serve(listener) }(s.health)
+	go func(h *http.Server, l net.Listener) { _ = h.Serve(l) }(s.health, s.listener)
 	go s.receive(conn, s.generation)
 	go s.beat(s.generation)
 	record("server %s (%s, %s): starts, cold for %v", s.ID, s.Service, s.Zone, cold)
@@ -101,10 +107,52 @@
 func (s *server) crash() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.end()
+	record("server %s: crashes with %d flows", s.ID, len(s.flows))
+}
+
+// end ends the run. The caller holds the lock.
+func (s *server) end() {
 	s.generation++
+	s.stopped = true
 	_ = s.conn.Close()
 	_ = s.health.Close()
-	record("server %s: crashes with %d flows", s.ID, len(s.flows))
+}
+
+// leave ends a run that has announced its end, and removes its entry.
+func (s *server) leave() {
+	s.mu.Lock()
+	s.end()
+	s.mu.Unlock()
+	s.lab.store.remove(s.storeKey())
+	record("server %s: has left", s.ID)
+}
+
+// work takes a slot for some time. The caller must not hold the lock.
+func (s *server) work(d time.Duration) {
+	s.slots <- struct{}{}
+	time.Sleep(d)
+	<-s.slots
+}
+
+// setCut cuts the server off from all instances, or ends that. It then takes no datagrams and no
+// connections.
+func (s *server) setCut(cut bool) error {
+	s.mu.Lock()
+	s.cut, s.disturbedAt = cut, time.Now()
+	s.mu.Unlock()
+	record("server %s: cut off from the instances = %v", s.ID, cut)
+	if cut {
+		return s.listener.pause()
+	}
+	return s.listener.resume()
+}
+
+// undisturbed reports whether the server lives and nothing disturbed it or its links lately.
+func (s *server) undisturbed() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.stopped && !s.cut && time.Since(s.disturbedAt) > contact
 }
 
 // drain announces the end of the run.
@@ -185,7 +233,7 @@
 			return
 		}
 		if err == nil && n >= 8 {
-			if id := binary.BigEndian.Uint64(buffer); id == s.number || id == 0 {
+			if id := binary.BigEndian.Uint64(buffer); !s.cut && (id == s.number || id == 0) {
 				if p, valid, ok := decode(buffer[8:n]); ok && valid {
 					s.handle(&p, generation)
 				} else {
@@ -238,7 +286,10 @@
 	case len(p.Data) > 0 && p.Seq == f.next:
 		f.next += uint32(len(p.Data))
 		data := p.Data
-		time.AfterFunc(s.Work, func() { s.respond(key, f, data, generation) })
+		go func() {
+			s.work(s.Work)
+			s.respond(key, f, data, generation)
+		}()
 	case len(p.Data) > 0:
 		s.send(key, f, flagACK, f.acked, nil)
 	}
