--- a/review/lab/cases.go
+++ b/review/lab/cases.go
@@ -165,7 +165,7 @@
 		time.Sleep(30 * time.Millisecond)
 		w.freeze(4 * time.Second)
 		time.Sleep(30 * time.Millisecond)
-		at, _ := l.store.remove(s.storeKey())
+		at := l.store.remove(s.storeKey())
 		record("store: entry %s removed after three heartbeats of silence", s.storeKey())
 		l.noteGone(s.ID, at)
 	}
--- a/review/lab/client.go
+++ b/review/lab/client.go
@@ -31,13 +31,11 @@
 }
 
 type clientFlow struct {
-	client              *client
-	key                 flowKey
-	synSeq, seq, ack    uint32
-	echo                uint32
-	events              chan packet
-	openedAt            time.Time
-	acknowledgedOpening bool
+	client           *client
+	key              flowKey
+	synSeq, seq, ack uint32
+	echo             uint32
+	events           chan packet
 }
 
 // outcome is how a flow or a request ended.
@@ -128,7 +126,6 @@
 	f := &clientFlow{client: c, key: flowKey{endpoint{c.addr, c.port}, route}, synSeq: rand.Uint32(), events: make(chan packet, 64)}
 	c.flows[c.port] = f
 	c.mu.Unlock()
-	start := time.Now()
 	f.send(flagSYN, f.synSeq, 0, nil)
 	copies := uint32(1)
 	next := time.NewTimer(secondCopy)
@@ -143,7 +140,6 @@
 				return f, refused
 			case p.Flags&(flagSYN|flagACK) == flagSYN|flagACK && p.Ack == f.synSeq+1:
 				f.echo, f.seq, f.ack = p.Echo, f.synSeq+1, p.Seq+1
-				f.openedAt = time.Now()
 				return f, answered
 			}
 		case <-next.C:
@@ -151,7 +147,6 @@
 			if copies++; copies == 2 {
 				next.Reset(thirdCopy - secondCopy)
 			}
-			_ = start
 		case <-limit:
 			f.forget()
 			return f, neverOpened
@@ -230,21 +225,6 @@
 	return answered, true
 }
 
-// idle waits on an open flow without a request. The result is "" unless the flow ended.
-func (f *clientFlow) idle(d time.Duration) outcome {
-	limit := time.After(d)
-	for {
-		select {
-		case p := <-f.events:
-			if result, done := f.handle(&p, ""); done {
-				return result
-			}
-		case <-limit:
-			return ""
-		}
-	}
-}
-
 // close ends the flow from the client's side.
 func (f *clientFlow) close() {
 	f.send(flagFIN|flagACK, f.seq, f.ack, nil)
--- a/review/lab/lab.go
+++ b/review/lab/lab.go
@@ -144,7 +144,7 @@
 // configure writes the configuration and returns the time of the acknowledgement.
 func (l *lab) configure() time.Time {
 	l.version += 3
-	at, _ := l.store.put("op/config", map[string]any{"Version": l.version, "Routes": l.routes, "Services": l.services,
+	at := l.store.put("op/config", map[string]any{"Version": l.version, "Routes": l.routes, "Services": l.services,
 		"Limits": map[string]any{"IdleTimeoutMs": 15000}})
 	record("operator: version %d with %d routes acknowledged", l.version, len(l.routes))
 	return at
--- a/review/lab/server.go
+++ b/review/lab/server.go
@@ -60,7 +60,6 @@
 	acked                uint32
 	echo                 uint32
 	open, closed         bool
-	lastRequest          []byte
 	pending              *packet // the response that was not acknowledged yet
 }
 
@@ -172,12 +171,12 @@
 
 func (s *server) storeKey() string { return "servers/" + s.ID }
 
-// beat writes the entry at the start, at each change and every heartbeat, and repeats a write
-// that failed after 100 ms.
+// beat writes the entry at the start, at each change and, while it changes, every heartbeat. A
+// server that does not reach the store tries again.
 func (s *server) beat(generation int) {
-	var lastCold int64 = -1
+	var lastCold int64
 	nextBeat := time.Now()
-	for {
+	for ; ; time.Sleep(20 * time.Millisecond) {
 		s.mu.Lock()
 		if s.generation != generation {
 			s.mu.Unlock()
@@ -193,33 +192,24 @@
 		s.sequence++
 		entry := map[string]any{"Service": s.Service, "Address": s.Addr.String(), "Zone": s.Zone, "Version": "v1", "Slots": s.Slots,
 			"State": state, "WarmupLeftMs": cold, "Sequence": s.sequence, "born": s.born.UnixMilli()}
-		mute := s.mute
-		s.mu.Unlock()
-		if !mute && (write || due) {
-			ok := true
-			if write {
-				var at time.Time
-				if at, ok = s.lab.store.put(s.storeKey(), entry); ok {
-					lastCold = cold
-					s.mu.Lock()
-					if s.generation == generation && !s.registered {
-						s.registered = true
-						record("server %s: entry written: %s, cold for %d ms", s.ID, state, cold)
-						if state == "draining" {
-							s.lab.noteGone(s.ID, at)
-						}
-					}
-					s.mu.Unlock()
-				}
+		if s.mute || !write && !due {
+			s.mu.Unlock()
+			continue
+		}
+		if write {
+			at := s.lab.store.put(s.storeKey(), entry)
+			lastCold = cold
+			if !s.registered {
+				s.registered = true
+				record("server %s: entry written: %s, cold for %d ms", s.ID, state, cold)
 			}
-			if ok && s.lab.store.renew(s.storeKey()) {
-				nextBeat = time.Now().Add(heartbeat)
+			if s.draining {
+				s.lab.noteGone(s.ID, at)
 			}
 		}
-		time.Sleep(20 * time.Millisecond)
-		if !s.registered {
-			time.Sleep(80 * time.Millisecond)
-		}
+		s.lab.store.renew(s.storeKey())
+		nextBeat = time.Now().Add(heartbeat)
+		s.mu.Unlock()
 	}
 }
 
--- a/review/lab/store.go
+++ b/review/lab/store.go
@@ -28,10 +28,7 @@
 	items    map[string]item
 	leases   map[string]time.Time // last heartbeat of each server's entry
 	events   []item
-	changed  chan struct{} // closed at each change
-	down     bool
-	ended    chan struct{} // closed when an outage begins
-	servers  []*http.Server
+	changed  chan struct{}        // closed at each change
 	watches  map[string]time.Time // start of each caller's watch in progress
 	checked  map[string]time.Time // latest answer to each caller's check of the revision
 }
@@ -40,7 +37,7 @@
 const entryLifetime = 3 * heartbeat
 
 func newStore() *store {
-	s := &store{revision: 100, items: map[string]item{}, leases: map[string]time.Time{}, changed: make(chan struct{}), ended: make(chan struct{}),
+	s := &store{revision: 100, items: map[string]item{}, leases: map[string]time.Time{}, changed: make(chan struct{}),
 		watches: map[string]time.Time{}, checked: map[string]time.Time{}}
 	go s.expire()
 	return s
@@ -73,7 +70,6 @@
 		return body, status
 	}))
 	server := &http.Server{Handler: mux}
-	s.servers = append(s.servers, server)
 	go func() { _ = server.Serve(l) }()
 	return nil
 }
@@ -98,31 +94,11 @@
 	return s.checked[caller]
 }
 
-// serve answers with the result of f, after the 4 ms that an answer takes. During an outage
-// nothing is answered, on any connection that was open then.
+// serve answers with the result of f, after the 4 ms that an answer takes.
 func (s *store) serve(f func(*http.Request) (any, int)) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		s.mu.Lock()
-		ended, down := s.ended, s.down
-		s.mu.Unlock()
-		done := make(chan struct{})
-		var body any
-		status := 0
-		if !down {
-			go func() {
-				time.Sleep(4 * time.Millisecond)
-				body, status = f(r)
-				close(done)
-			}()
-		}
-		select {
-		case <-done:
-		case <-ended:
-			<-r.Context().Done()
-			return
-		case <-r.Context().Done():
-			return
-		}
+		time.Sleep(4 * time.Millisecond)
+		body, status := f(r)
 		w.Header().Set("Content-Type", "application/json")
 		w.Header().Set("Store-Era", "1")
 		w.WriteHeader(status)
@@ -189,17 +165,14 @@
 	}
 }
 
-// put writes a key. It returns the time of the acknowledgement, or false during an outage.
-func (s *store) put(key string, value any) (time.Time, bool) {
+// put writes a key and returns the time of the acknowledgement.
+func (s *store) put(key string, value any) time.Time {
 	encoded, err := json.Marshal(value)
 	if err != nil {
 		panic(err)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.down {
-		return time.Time{}, false
-	}
 	s.revision++
 	it := item{Key: key, Value: encoded, Revision: s.revision, Created: s.revision}
 	if old, ok := s.items[key]; ok {
@@ -207,18 +180,15 @@
 	}
 	s.items[key] = it
 	s.publish(it)
-	return time.Now(), true
+	return time.Now()
 }
 
-// remove deletes a key.
-func (s *store) remove(key string) (time.Time, bool) {
+// remove deletes a key and returns the time of the acknowledgement.
+func (s *store) remove(key string) time.Time {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.down {
-		return time.Time{}, false
-	}
 	s.drop(key)
-	return time.Now(), true
+	return time.Now()
 }
 
 func (s *store) drop(key string) {
@@ -236,14 +206,11 @@
 	s.changed = make(chan struct{})
 }
 
-// renew keeps the entry of a server alive. It returns false during an outage.
-func (s *store) renew(key string) bool {
+// renew keeps the entry of a server alive.
+func (s *store) renew(key string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.down {
-		s.leases[key] = time.Now()
-	}
-	return !s.down
+	s.leases[key] = time.Now()
 }
 
 // hold stops the expiry of an entry, which the caller then removes itself.
@@ -258,7 +225,7 @@
 	for range time.Tick(50 * time.Millisecond) {
 		s.mu.Lock()
 		for key, at := range s.leases {
-			if !s.down && time.Since(at) > entryLifetime {
+			if time.Since(at) > entryLifetime {
 				s.drop(key)
 				record("store: entry %s removed after %v of silence", key, time.Since(at).Round(time.Millisecond))
 			}
@@ -266,22 +233,3 @@
 		s.mu.Unlock()
 	}
 }
-
-// setDown starts or ends an outage in which the store answers nothing.
-func (s *store) setDown(down bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.down == down {
-		return
-	}
-	s.down = down
-	if down {
-		close(s.ended)
-	} else {
-		s.ended = make(chan struct{})
-		for key := range s.leases {
-			s.leases[key] = time.Now()
-		}
-	}
-	record("store: down = %v", down)
-}
