--- a/internal/adapter/peerudp/codec.go
+++ b/internal/adapter/peerudp/codec.go
@@ -17,7 +17,7 @@
 
 // formatVersion is the version of the message format, the first field of each message.
 // Messages with another version are rejected.
-const formatVersion = 3
+const formatVersion = 4
 
 // A message with an epoch is wrapped in a CBOR tag with the number epochTag + epoch. Instances
 // of versions without epochs skip the tag, so they understand the message; one without a tag
@@ -109,6 +109,9 @@
 	// Shares alternates between the index of a service in wireConfig.Services and its
 	// weight.
 	Shares []int
+	// Priority, GoalMs and TimeoutMs are model.Terms.
+	Priority          uint8
+	GoalMs, TimeoutMs uint32
 }
 
 type wireServer struct {
@@ -219,7 +222,8 @@
 	}
 	for i := range c.Routes {
 		r := &c.Routes[i]
-		route := wireRoute{Name: r.Name, Address: r.Endpoint.Address, Port: r.Endpoint.Port, Idempotent: r.Idempotent}
+		route := wireRoute{Name: r.Name, Address: r.Endpoint.Address, Port: r.Endpoint.Port, Idempotent: r.Idempotent,
+			Priority: r.Terms.Priority, GoalMs: uint32(r.Terms.Goal.Milliseconds()), TimeoutMs: uint32(r.Terms.Timeout.Milliseconds())}
 		for _, s := range r.Shares {
 			if index, ok := serviceIndexes[s.Service]; ok {
 				route.Shares = append(route.Shares, index, s.Weight)
@@ -324,7 +328,8 @@
 			ColdPerSecond: s.ColdPerSecond})
 	}
 	for _, r := range w.Routes {
-		route := catalog.Route{Name: r.Name, Endpoint: steering.Endpoint{Address: r.Address, Port: r.Port}, Idempotent: r.Idempotent}
+		route := catalog.Route{Name: r.Name, Endpoint: steering.Endpoint{Address: r.Address, Port: r.Port}, Idempotent: r.Idempotent,
+			Terms: model.Terms{Priority: r.Priority, Goal: time.Duration(r.GoalMs) * time.Millisecond, Timeout: time.Duration(r.TimeoutMs) * time.Millisecond}}
 		if len(r.Shares)%2 != 0 {
 			return nil, merry.Errorf("route %q has shares with an odd number of values: %d", r.Name, len(r.Shares))
 		}
--- a/internal/adapter/peerudp/codec_test.go
+++ b/internal/adapter/peerudp/codec_test.go
@@ -26,6 +26,7 @@
 	config := &catalog.Configuration{Version: 9, IdleTimeout: 15 * time.Second,
 		Services: []catalog.Service{{Name: "a", HealthPath: "/h", ColdPerSecond: 2.5}, {Name: "b"}},
 		Routes: []catalog.Route{{Name: "r", Endpoint: steering.Endpoint{Address: 1, Port: 2}, Idempotent: true,
+			Terms:  model.Terms{Priority: 3, Goal: 500 * time.Millisecond, Timeout: 5 * time.Second},
 			Shares: []catalog.Share{{Service: "a", Weight: 9}, {Service: "b", Weight: 1}}}}}
 	return &peer.Message{Kind: peer.Changes, CallID: 7, From: self, Updates: []member.Update{{Member: model.Member{ID: "n2", Liveness: model.Dead}}},
 		Join: true, Target: at, Epoch: 3, Revision: 40, Confirmed: true, CutOff: true, Age: 120 * time.Millisecond, AfterRevision: 38, Compacted: true, Part: 1, Parts: 3,
--- a/internal/core/catalog/delta.go
+++ b/internal/core/catalog/delta.go
@@ -42,7 +42,7 @@
 
 // sameRoute reports whether two routes with the same name are equal.
 func sameRoute(a, b *Route) bool {
-	return a.Endpoint == b.Endpoint && a.Idempotent == b.Idempotent && slices.Equal(a.Shares, b.Shares)
+	return a.Endpoint == b.Endpoint && a.Idempotent == b.Idempotent && a.Terms == b.Terms && slices.Equal(a.Shares, b.Shares)
 }
 
 // Apply returns the configuration that results from applying the delta to its base.
--- a/internal/core/steering/flows.go
+++ b/internal/core/steering/flows.go
@@ -135,10 +135,12 @@
 		s.setBusy(f, false)
 	}
 	if sequenceAfter(p.Acknowledged, f.acknowledged) {
+		bytes := p.Acknowledged - f.acknowledged
 		f.acknowledged, f.retransmitted = p.Acknowledged, false
 		f.target.SeeResponse(now)
 		if f.busy {
 			decision.ResponseTime = now.Sub(f.sentAt)
+			decision.AnswerFailed = s.answerFailed(p.Key.Route, bytes)
 		}
 		s.setBusy(f, false)
 	}
@@ -186,6 +188,7 @@
 	}
 	s.nextSweepAt = now.Add(sweepInterval)
 	s.expireUnknownTokens(now)
+	s.expireAnswerSizes()
 	for key, f := range s.flows {
 		idle := now.Sub(f.lastPacketAt)
 		switch {
--- a/internal/core/steering/steerer.go
+++ b/internal/core/steering/steerer.go
@@ -35,6 +35,9 @@
 	// the time from a request to the acknowledgement of its response. Each is 0 if
 	// the packet does not complete it.
 	HandshakeTime, ResponseTime time.Duration
+	// AnswerFailed is set with ResponseTime if the answer is so short that the server probably
+	// rejected or failed the request.
+	AnswerFailed bool
 	// Load is the number of the server's requests in progress through this instance
 	// before the new flow was added.
 	Load int
@@ -59,13 +62,15 @@
 	suspects     []*target // targets for which a probe is requested
 	nextSweepAt  model.Time
 	lost         lostFlows
+	// answerSizes holds the usual size of the answers of each route.
+	answerSizes map[Endpoint]*answerSize
 }
 
 // NewSteerer returns a Steerer without flows. coldMargin is the number of new flows per
 // second that a cold server can take in addition to its service's ColdPerSecond.
 func NewSteerer(random *rand.Rand, coldMargin float64) *Steerer {
 	return &Steerer{coldMargin: coldMargin, random: random, flows: map[FlowKey]*flow{}, targets: map[Token]*target{},
-		loads: map[string]*serviceLoad{}, lost: newLostFlows()}
+		loads: map[string]*serviceLoad{}, lost: newLostFlows(), answerSizes: map[Endpoint]*answerSize{}}
 }
 
 // Flows returns the number of flow records.
--- a/internal/core/steering/types.go
+++ b/internal/core/steering/types.go
@@ -12,6 +12,7 @@
 
 	"github.com/savorytiller/savorytiller/internal/core/belief"
 	"github.com/savorytiller/savorytiller/internal/core/model"
+	"github.com/savorytiller/savorytiller/internal/core/room"
 )
 
 // Endpoint is an IPv4 address and a port.
@@ -109,6 +110,8 @@
 	Shares   []Share
 	// Idempotent is set if callers can safely repeat the requests of the route.
 	Idempotent bool
+	// Terms hold for the flows that open while they are in force.
+	Terms model.Terms
 }
 
 // Service is a service with those of its servers that may get new flows.
@@ -184,6 +187,8 @@
 	// EndedTokens holds tokens of servers that are not in Servers because they ended before
 	// this instance knew them. Their flows are reset.
 	EndedTokens map[Token]bool
+	// Room is the load of the fleet; nil until it is known. See room.View.Usable.
+	Room *room.View
 	// IdleTimeout and Lifetime limit the idle time and the total duration of flows.
 	IdleTimeout, Lifetime time.Duration
 }
--- a/internal/port/steering.go
+++ b/internal/port/steering.go
@@ -4,6 +4,7 @@
 	"net/netip"
 
 	"github.com/savorytiller/savorytiller/internal/core/model"
+	"github.com/savorytiller/savorytiller/internal/core/room"
 	"github.com/savorytiller/savorytiller/internal/core/steering"
 )
 
@@ -20,6 +21,12 @@
 	UnknownToken(token steering.Token)
 }
 
+// LoadSink receives the load that the traffic goroutine observes. It never blocks.
+type LoadSink interface {
+	// ReportLoad hands over a report, which the caller does not change any more.
+	ReportLoad(report *room.Report)
+}
+
 // PacketSocket sends and receives datagrams. Receive blocks. One goroutine at a
 // time may use the socket, but any goroutine may call Close.
 type PacketSocket interface {
