steering: the preferred zone of a new flow is an argument

Cause: admission control will send flows to another zone while the own one is short of capacity. Change: selectServer takes the zone that it prefers; it is the own zone everywhere.

--- a/internal/core/steering/select.go
+++ b/internal/core/steering/select.go
@@ -47,7 +47,7 @@
 
 // Classes of candidate servers in the order of preference.
 const (
-	classReady     = iota // own zone, with free slots
+	classReady     = iota // preferred zone, with free slots
 	classBusy             // another zone, or no free slot
 	classCold             // in its cold start, below the limit of coldAllowed
 	classUnhealthy        // recent timeouts, a failed probe or a probe in progress
@@ -83,17 +83,17 @@
 	return ""
 }
 
-// selectServer returns the least loaded server for a new flow: in the own zone while it
+// selectServer returns the least loaded server for a new flow: in the given zone while it
 // has free slots, otherwise in any zone. It returns nil if no server may get the flow.
 // avoid is the server that did not answer an earlier SYN of this flow, or nil; it is
 // only selected if there is no other and it still accepts new flows.
-func (s *Steerer) selectServer(service *Service, avoid *target, now model.Time) *target {
+func (s *Steerer) selectServer(service *Service, zone model.Zone, avoid *target, now model.Time) *target {
 	load := s.loads[service.Name]
 	if load == nil {
 		load = &serviceLoad{perOpenFlow: initialLoadPerFlow}
 		s.loads[service.Name] = load
 	}
-	c := choice{avoid: avoid, class: math.MaxInt, score: math.Inf(1)}
+	c := choice{zone: zone, avoid: avoid, class: math.MaxInt, score: math.Inf(1)}
 	if n := len(service.Servers); n > scanLimit {
 		for range sampleSize {
 			s.consider(&c, service, load, service.Servers[s.random.IntN(n)], now)
@@ -107,7 +107,7 @@
 	if c.flows > 0 {
 		load.perOpenFlow += loadSmoothing * (float64(c.busy)/float64(c.flows) - load.perOpenFlow)
 	}
-	if c.best == nil && avoid != nil && slices.Contains(service.Servers, avoid.server) && s.class(avoid, service, 0, now) != classExcluded {
+	if c.best == nil && avoid != nil && slices.Contains(service.Servers, avoid.server) && s.class(avoid, service, zone, 0, now) != classExcluded {
 		c.best = avoid
 	}
 	if c.best != nil {
@@ -119,6 +119,8 @@
 
 // choice holds the best server of those considered so far.
 type choice struct {
+	// zone is preferred: the own zone, unless admission control sends the flow elsewhere.
+	zone        model.Zone
 	avoid, best *target
 	class       int
 	score       float64
@@ -135,11 +137,11 @@
 		return // later packets could not name a server without a token of its own
 	}
 	score := s.score(t, load)
-	class := s.class(t, service, score, now)
+	class := s.class(t, service, c.zone, score, now)
 	if class == classExcluded {
 		return
 	}
-	if server.Zone != s.snapshot.Zone {
+	if server.Zone != c.zone {
 		score += crossZoneLoad
 	}
 	score += jitter * s.random.Float64()
@@ -155,8 +157,8 @@
 	return (float64(t.busy) + idle*load.perOpenFlow) * float64(s.snapshot.InstancesInZone) / float64(t.server.Slots)
 }
 
-// class returns the preference class of a server.
-func (s *Steerer) class(t *target, service *Service, score float64, now model.Time) int {
+// class returns the preference class of a server for a flow that prefers a zone.
+func (s *Steerer) class(t *target, service *Service, zone model.Zone, score float64, now model.Time) int {
 	cold := t.server.ColdUntil.After(now)
 	switch {
 	case cold && !s.coldAllowed(t, service, now):
@@ -165,7 +167,7 @@
 		return classUnhealthy
 	case cold:
 		return classCold
-	case score < 1 && t.server.Zone == s.snapshot.Zone:
+	case score < 1 && t.server.Zone == zone:
 		return classReady
 	default:
 		return classBusy
--- a/internal/core/steering/steerer.go
+++ b/internal/core/steering/steerer.go
@@ -195,7 +195,7 @@
 		s.recordTimeout(f.target, now, f.sentAt)
 		s.removeLoad(f)
 	}
-	t := s.selectServer(service, avoid, now)
+	t := s.selectServer(service, s.snapshot.Zone, avoid, now)
 	if t == nil {
 		return s.decideWithoutServer(service, p, f == nil, now)
 	}
