--- a/internal/adapter/peerudp/codec.go
+++ b/internal/adapter/peerudp/codec.go
@@ -52,6 +52,7 @@
 	Parts              int
 	UnreachableServers []wireServerRun
 	Tokens             []steering.Token
+	Load               *wireLoad
 }
 
 type wireServerRun struct {
@@ -161,7 +162,14 @@
 	for i := range m.Entries {
 		w.Entries = append(w.Entries, newWireEntry(&m.Entries[i]))
 	}
-	b, err := cbor.Marshal(&w)
+	var err error
+	if m.Load != nil {
+		w.Load, err = newWireLoad(m.Load)
+	}
+	var b []byte
+	if err == nil {
+		b, err = cbor.Marshal(&w)
+	}
 	if err == nil && m.Epoch > maxEpoch {
 		err = merry.Errorf("epoch %d is over %d", m.Epoch, maxEpoch)
 	}
@@ -266,6 +274,12 @@
 		e, err = w.Entries[i].entry()
 		m.Entries = append(m.Entries, e)
 	}
+	if err == nil && w.Load != nil {
+		m.Load, err = w.Load.report()
+	}
+	if err == nil && m.Kind == peer.Load && m.Load == nil {
+		err = merry.Errorf("load message without a report")
+	}
 	if err != nil {
 		return nil, merry.Wrap(port.ErrMalformed, merry.WithCause(err))
 	}
--- a/internal/adapter/peerudp/codec_test.go
+++ b/internal/adapter/peerudp/codec_test.go
@@ -16,6 +16,7 @@
 	"github.com/savorytiller/savorytiller/internal/core/member"
 	"github.com/savorytiller/savorytiller/internal/core/model"
 	"github.com/savorytiller/savorytiller/internal/core/peer"
+	"github.com/savorytiller/savorytiller/internal/core/room"
 	"github.com/savorytiller/savorytiller/internal/core/steering"
 	"github.com/savorytiller/savorytiller/internal/port"
 )
@@ -31,6 +32,12 @@
 	return &peer.Message{Kind: peer.Changes, CallID: 7, From: self, Updates: []member.Update{{Member: model.Member{ID: "n2", Liveness: model.Dead}}},
 		Join: true, Target: at, Epoch: 3, Revision: 40, Confirmed: true, CutOff: true, Age: 120 * time.Millisecond, AfterRevision: 38, Compacted: true, Part: 1, Parts: 3,
 		UnreachableServers: []catalog.ServerRun{{ID: "i-1", Started: 5}}, Tokens: []steering.Token{1, 0xffff_ffff},
+		Load: &peer.LoadReport{Scope: peer.FleetScope, Origin: room.Sender{ID: "n3", Incarnation: 6}, Report: &room.Report{Sequence: 9, Interval: 250 * time.Millisecond,
+			Instances: 5, Zones: map[model.Zone]int{"z": 3, "y": 2},
+			Classes: map[room.Class]room.Counters{
+				{Service: "a", Zone: "z", Priority: 255}: {InProgress: 2.5, Arrivals: 3, Completed: 4, Failed: 5, Refused: 6, Latency: 200 * time.Millisecond},
+				{Service: "b", Zone: "y", Priority: 1}:   {InProgress: 0.25, Completed: 1}},
+			Servers: map[uint32]room.ServerLoad{0xffff_ffff: {Token: 0xffff_ffff, InProgress: 1.5, Samples: 8, Failed: 8}, 5: {Token: 5, Samples: 8, LogLatency: -4}}}},
 		Entries: []catalog.Entry{
 			{Key: "c", Revision: 39, Config: config},
 			{Key: "c", Revision: 40, Delta: &catalog.Delta{Base: 9, Version: 12, IdleTimeout: time.Second,
--- a/internal/adapter/settings/steer.go
+++ b/internal/adapter/settings/steer.go
@@ -19,7 +19,9 @@
 	Seeds    []netip.AddrPort
 	Registry Registry
 	Bounds   Bounds
-	Log      Log
+	// LoadInterval is the shortest time between two load reports; 0 switches them off.
+	LoadInterval time.Duration
+	Log          Log
 }
 
 // SteerAddresses are the endpoints of the instance.
@@ -75,6 +77,7 @@
 	duration("bounds.evacuation_ms", time.Millisecond, 5000, 300, 600_000, func(s *Steer) *time.Duration { return &s.Bounds.Evacuation }),
 	duration("bounds.stop_grace_s", time.Second, 6, 0.1, 600, func(s *Steer) *time.Duration { return &s.Bounds.StopGrace }),
 	decimal("bounds.cold_margin", 5, 0, 1000, func(s *Steer) *float64 { return &s.Bounds.ColdMargin }),
+	duration("load.interval_ms", time.Millisecond, 250, 0, 10_000, func(s *Steer) *time.Duration { return &s.LoadInterval }),
 	logLevel(func(s *Steer) *string { return &s.Log.Level }),
 }
 
--- a/internal/app/steer/instance.go
+++ b/internal/app/steer/instance.go
@@ -100,7 +100,7 @@
 	i.control, err = registry.New(registry.Options{Self: self, Seeds: s.Seeds, Peers: i.peers, Clock: i.clock, Registry: p.Registry(s), Prober: p.Prober,
 		Catalog: catalog.Settings{Lifetime: s.Bounds.FlowLifetime, UnlistedGrace: min(maxUnlistedGrace, s.Bounds.Drain*2/3),
 			DefaultIdleTimeout: defaultIdleTimeout},
-		Bounds: registryBounds(s), Log: logs.Part("registry"), Seed: seed})
+		Bounds: registryBounds(s), LoadInterval: s.LoadInterval, Log: logs.Part("registry"), Seed: seed})
 	if err != nil {
 		return nil, err
 	}
@@ -112,9 +112,10 @@
 		_ = socket.Close() // the listener's error is returned
 		return nil, merry.Prepend(err, "listen.readiness")
 	}
-	i.worker = packets.New(packets.Options{Socket: socket, Codec: p.Codec(s), Snapshots: i.control, Faults: i.control, Clock: i.clock,
-		Recorder: i.recorder, Log: logs.Part("flow"),
-		Steerer: steering.NewSteerer(rand.New(rand.NewPCG(seed, 1)), s.Bounds.ColdMargin)})
+	steerer := steering.NewSteerer(rand.New(rand.NewPCG(seed, 1)), s.Bounds.ColdMargin)
+	steerer.SetReportInterval(s.LoadInterval)
+	i.worker = packets.New(packets.Options{Socket: socket, Codec: p.Codec(s), Snapshots: i.control, Faults: i.control, Loads: i.control,
+		Clock: i.clock, Recorder: i.recorder, Log: logs.Part("flow"), Steerer: steerer})
 	i.readinessServer = readiness.NewServer(i.Ready)
 	return i, i.openStatus()
 }
--- a/internal/control/registry/control.go
+++ b/internal/control/registry/control.go
@@ -30,6 +30,7 @@
 	"github.com/savorytiller/savorytiller/internal/core/catalog"
 	"github.com/savorytiller/savorytiller/internal/core/model"
 	"github.com/savorytiller/savorytiller/internal/core/peer"
+	"github.com/savorytiller/savorytiller/internal/core/room"
 	"github.com/savorytiller/savorytiller/internal/core/steering"
 	"github.com/savorytiller/savorytiller/internal/port"
 )
@@ -38,7 +39,8 @@
 // instances, which arrive in bursts when many registry entries change.
 const eventQueueSize = 1024
 
-// Options configure a Control. All are required except Seeds, Log and Seed.
+// Options configure a Control. All are required except Seeds, LoadInterval, Log and
+// Seed.
 type Options struct {
 	// Self describes this instance: ID, zone, peer address, incarnation and capacity.
 	Self model.Member
@@ -52,7 +54,10 @@
 	// Catalog has the settings of the catalog; NewFlowLimit is derived from the Bounds.
 	Catalog catalog.Settings
 	Bounds  Bounds
-	Log     logr.Logger
+	// LoadInterval is the time between two load reports while more than half of the slots of a
+	// service are in use; 0 for no reports.
+	LoadInterval time.Duration
+	Log          logr.Logger
 	// Seed initializes the random delays. It must differ between instances, so that their
 	// calls do not coincide.
 	Seed uint64
@@ -98,6 +103,10 @@
 // next packet.
 func (c *Control) UnknownToken(token steering.Token) { c.tryPost(evUnknownToken{token}) }
 
+// ReportLoad implements port.LoadSink. A dropped report is missing in the sums; the next one
+// follows after the report interval.
+func (c *Control) ReportLoad(report *room.Report) { c.tryPost(evLoad{report}) }
+
 // Receive queues a message from another instance. If the queue is full, the message is
 // dropped, as if the network had lost it.
 func (c *Control) Receive(m *peer.Message) { c.tryPost(evMessage{m}) }
--- a/internal/control/registry/events.go
+++ b/internal/control/registry/events.go
@@ -9,6 +9,7 @@
 	"github.com/savorytiller/savorytiller/internal/core/catalog"
 	"github.com/savorytiller/savorytiller/internal/core/model"
 	"github.com/savorytiller/savorytiller/internal/core/peer"
+	"github.com/savorytiller/savorytiller/internal/core/room"
 	"github.com/savorytiller/savorytiller/internal/core/steering"
 	"github.com/savorytiller/savorytiller/internal/port"
 )
@@ -42,6 +43,9 @@
 // evMessage is a message from another instance.
 type evMessage struct{ message *peer.Message }
 
+// evLoad is the load that the traffic goroutine observed.
+type evLoad struct{ report *room.Report }
+
 // evRegistry replaces the registry client.
 type evRegistry struct{ registry port.Registry }
 
--- a/internal/control/registry/machine.go
+++ b/internal/control/registry/machine.go
@@ -112,6 +112,7 @@
 	counts             Counts
 	lookups            lookups
 	ends               ends
+	loads              loads
 }
 
 // Counts holds the numbers of calls and events since the start. Failures counts failed
@@ -129,7 +130,7 @@
 	random := rand.New(rand.NewPCG(o.Seed, o.Seed^0x9e3779b97f4a7c15))
 	o.Catalog.NewFlowLimit = o.Bounds.newFlowLimit()
 	m := &machine{zone: o.Self.Zone, random: random, log: o.Log, catalog: catalog.New(o.Catalog),
-		timing: timingFor(o.Bounds), lookups: newLookups(), ends: newEnds(), probeLimit: maxConcurrentProbes}
+		timing: timingFor(o.Bounds), lookups: newLookups(), ends: newEnds(), loads: newLoads(&o), probeLimit: maxConcurrentProbes}
 	m.peers = peers{seeds: o.Seeds, table: member.New(o.Self, random), calls: map[uint32]*pendingCall{}, partials: map[model.InstanceID]*partialChanges{}, unresponsiveSince: map[model.Zone]model.Time{}, reportedAt: map[catalog.ServerRun]model.Time{},
 		lastMessageAt: map[model.Zone]model.Time{}}
 	m.peers.setMembers([]model.Member{o.Self})
@@ -164,6 +165,8 @@
 		m.catalog.MarkSuspect(e.at, e.run)
 	case evProbed:
 		m.probeDone(e)
+	case evLoad:
+		m.addOwnLoad(e.report)
 	case evMonitored:
 		m.monitorDone(e)
 	}
@@ -185,6 +188,7 @@
 		m.expireAt = m.now.Add(time.Second)
 	}
 	m.releaseHeldZones()
+	m.maintainLoads()
 	m.publish()
 	m.lookUpTokens()
 	m.sendEndReports()
@@ -271,7 +275,7 @@
 	if m.changed && !build {
 		m.scheduleWake(earliest)
 	}
-	if !build && m.now.Before(m.publishAt) {
+	if !build && !m.loads.changed && m.now.Before(m.publishAt) {
 		m.scheduleWake(m.publishAt)
 		m.scheduleNextChange()
 		return
@@ -280,6 +284,7 @@
 		m.changed, m.builtAt = false, m.now
 		m.builtSnapshot = steering.Snapshot{Zone: m.zone, InstancesInZone: max(1, m.peers.members.LiveCountIn(m.zone))}
 		m.changesAt = m.catalog.Fill(m.now, &m.builtSnapshot, m.isHome)
+		m.slotsChanged()
 	}
 	m.publishAt = m.now.Add(publishInterval)
 	m.scheduleNextChange()
@@ -293,6 +298,7 @@
 	s.EndedTokens = m.lookups.endedTokens()
 	s.Registry = steering.RegistryView{Epoch: m.feed.epoch, Revision: m.feed.revision, RestoredAt: m.restoredAt, HeldZones: m.catalog.HeldZones(),
 		UnusableEntries: m.catalog.UnusableEntries()}
+	s.Room, m.loads.changed = m.loads.view, false
 	s.FreshFor, s.UnresponsiveSince = m.timing.staleAfter, m.unresponsiveZones()
 	m.snapshot = &s
 }
--- a/internal/control/registry/peers.go
+++ b/internal/control/registry/peers.go
@@ -384,6 +384,8 @@
 		m.answerLookup(message)
 	case peer.LookupAnswer:
 		m.receiveLookupAnswer(message)
+	case peer.Load:
+		m.receiveLoad(message)
 	}
 	m.receiveReport(message)
 	m.comparePosition(message)
--- a/internal/control/registry/tree.go
+++ b/internal/control/registry/tree.go
@@ -43,9 +43,26 @@
 	return t.members[first:min(first+fanOut, len(t.members))]
 }
 
+// parent returns the instance that forwards to this one. ok is false at the root.
+func (t *zoneTree) parent() (parent model.Member, ok bool) {
+	if t.self <= 0 {
+		return parent, false
+	}
+	return t.members[(t.self-1)/fanOut], true
+}
+
+// root returns the instance at the root; it is the relay unless all instances are leaving.
+func (t *zoneTree) root() model.InstanceID { return t.members[0].ID }
+
+// isChild reports whether this instance forwards to the given one.
+func (t *zoneTree) isChild(id model.InstanceID) bool {
+	return slices.ContainsFunc(t.children(), func(m model.Member) bool { return m.ID == id })
+}
+
 // isParent reports whether the instance forwards to this one.
 func (t *zoneTree) isParent(id model.InstanceID) bool {
-	return t.self > 0 && t.members[(t.self-1)/fanOut].ID == id
+	parent, ok := t.parent()
+	return ok && parent.ID == id
 }
 
 // others returns the other instances of the zone.
--- a/internal/core/peer/cause.go
+++ b/internal/core/peer/cause.go
@@ -20,13 +20,15 @@
 	CausePull
 	// CauseLookup covers questions about the servers of flows and their answers.
 	CauseLookup
+	// CauseLoad covers load reports.
+	CauseLoad
 	// Causes is the number of causes.
 	Causes
 )
 
 // String returns the name used in metrics and logs.
 func (c Cause) String() string {
-	return [...]string{"probe", "join", "confirmation", "report", "changes", "listing", "pull", "lookup"}[c]
+	return [...]string{"probe", "join", "confirmation", "report", "changes", "listing", "pull", "lookup", "load"}[c]
 }
 
 // Cause returns why the message was sent.
@@ -40,6 +42,8 @@
 		return CausePull
 	case m.Kind == Lookup || m.Kind == LookupAnswer:
 		return CauseLookup
+	case m.Kind == Load:
+		return CauseLoad
 	case len(m.UnreachableServers) > 0:
 		return CauseReport
 	case m.Join:
--- a/internal/core/peer/message.go
+++ b/internal/core/peer/message.go
@@ -9,6 +9,7 @@
 	"github.com/savorytiller/savorytiller/internal/core/catalog"
 	"github.com/savorytiller/savorytiller/internal/core/member"
 	"github.com/savorytiller/savorytiller/internal/core/model"
+	"github.com/savorytiller/savorytiller/internal/core/room"
 	"github.com/savorytiller/savorytiller/internal/core/steering"
 )
 
@@ -35,12 +36,40 @@
 	// a Lookup, listed servers whose end the sender saw.
 	Lookup
 	LookupAnswer
+	// Load carries a part of a load report. It has neither updates nor a position, which keeps it
+	// small.
+	Load
 	kindEnd
 )
 
 // Valid reports whether the kind is known.
 func (k Kind) Valid() bool { return k >= Probe && k < kindEnd }
 
+// Scope is the set of instances whose load a report includes.
+type Scope uint8
+
+const (
+	// SubtreeScope is an instance and those below it in the tree of its zone. Its reports go to its
+	// parent.
+	SubtreeScope Scope = iota
+	// ZoneScope is a zone. Its reports go from its relay to the relays of the other zones.
+	ZoneScope
+	// FleetScope is all zones. Its reports go from the relay of each zone down the tree.
+	FleetScope
+	scopeEnd
+)
+
+// Valid reports whether the scope is known.
+func (s Scope) Valid() bool { return s < scopeEnd }
+
+// LoadReport is a load report or a part of one. It is not changed once it was sent.
+type LoadReport struct {
+	Scope Scope
+	// Origin made the report. It differs from the sender of the message if that forwards it.
+	Origin room.Sender
+	Report *room.Report
+}
+
 // Message is what one instance sends to another in one datagram.
 type Message struct {
 	Kind Kind
@@ -83,6 +112,8 @@
 	// Parts is the number of messages that carry the entries, and Part the index of this
 	// one.
 	Part, Parts int
+	// Load is set in Load, whose Part and Parts count the parts of the report.
+	Load *LoadReport
 }
 
 // Position returns how far the sender's catalog goes.
--- a/internal/core/room/types.go
+++ b/internal/core/room/types.go
@@ -61,18 +61,25 @@
 	// LogLatency is the sum, over the samples that did not fail, of the logarithm of the response
 	// time relative to the usual one of the same route.
 	LogLatency float64
+	// UpdatedAt is when the load was last observed or received.
+	UpdatedAt model.Time
 }
 
-// Report is the load that one instance, or the instances of a subtree, observed.
+// Report is the load that one instance, or the instances of a subtree, observed. It is not changed
+// once it was handed over or sent.
 type Report struct {
 	// Sequence increases with each report of the same sender and incarnation.
 	Sequence uint64
-	// Interval is the time that the counters cover.
+	// Interval is the time that the counters cover. The next report follows after about that time.
 	Interval time.Duration
 	// Instances is the number of instances whose load is included.
 	Instances int
-	Classes   map[Class]Counters
-	Servers   map[uint32]ServerLoad
+	// Zones is the number of these instances by their zone; nil in a report of one instance.
+	Zones   map[model.Zone]int
+	Classes map[Class]Counters
+	// Servers holds the load of servers by token. In a sum, the samples are those of the last
+	// seconds and not of the interval, and only some of the servers are included.
+	Servers map[uint32]ServerLoad
 }
 
 // View is the load of the fleet as an instance knows it. It is immutable.
@@ -81,8 +88,10 @@
 	At model.Time
 	// Usable is false while the view holds less than half of the live instances of the own zone,
 	// or is too old. Decisions are then made without it.
-	Usable   bool
-	Services map[string]*Service
+	Usable bool
+	// Instances is the number of instances whose load is included, by their zone.
+	Instances map[model.Zone]int
+	Services  map[string]*Service
 	// Servers holds the load of servers by token.
 	Servers map[uint32]ServerLoad
 }
--- a/internal/core/steering/flows.go
+++ b/internal/core/steering/flows.go
@@ -60,6 +60,7 @@
 	// acknowledged is the highest acknowledgment number of the caller.
 	dataEnd, acknowledged uint32
 	synSequence           uint32 // sequence number of the SYN
+	priority              uint8  // of the route when the flow opened
 }
 
 // pendingSYN is a SYN that was sent to a server and is checked after ResponseTimeout.
@@ -81,7 +82,7 @@
 	if len(s.flows) >= maxRecords {
 		return nil
 	}
-	f := &flow{target: t, stage: open, openedAt: now, dataEnd: p.Sequence, acknowledged: p.Acknowledged}
+	f := &flow{target: t, stage: open, openedAt: now, dataEnd: p.Sequence, acknowledged: p.Acknowledged, priority: s.priorityOf(p.Key.Route)}
 	s.flows[p.Key] = f
 	s.addLoad(f)
 	return f
@@ -111,8 +112,10 @@
 	f.busy = busy
 	if busy {
 		f.target.busy++
+		s.load.changeBusy(f, 1)
 	} else {
 		f.target.busy--
+		s.load.changeBusy(f, -1)
 	}
 }
 
@@ -141,6 +144,7 @@
 		if f.busy {
 			decision.ResponseTime = now.Sub(f.sentAt)
 			decision.AnswerFailed = s.answerFailed(p.Key.Route, bytes)
+			s.load.answered(f, p.Key.Route, decision)
 		}
 		s.setBusy(f, false)
 	}
@@ -189,6 +193,7 @@
 	s.nextSweepAt = now.Add(sweepInterval)
 	s.expireUnknownTokens(now)
 	s.expireAnswerSizes()
+	s.expireUsualTimes()
 	for key, f := range s.flows {
 		idle := now.Sub(f.lastPacketAt)
 		switch {
--- a/internal/core/steering/health.go
+++ b/internal/core/steering/health.go
@@ -29,6 +29,7 @@
 	coldWindowStart model.Time
 	// resetFor is the loss for which the open flows were last queued for a reset.
 	resetFor loss
+	load     targetLoad
 }
 
 // loss is what shows that a server cannot continue its flows: that its run has ended, or
--- /dev/null
+++ b/internal/core/steering/load.go
@@ -0,0 +1,252 @@
+package steering
+
+import (
+	"math"
+	"time"
+
+	"github.com/savorytiller/savorytiller/internal/core/model"
+	"github.com/savorytiller/savorytiller/internal/core/room"
+)
+
+// Parameters of the usual response time of a route.
+const (
+	// usualTimeWeight is the weight of a new response time in the moving mean.
+	usualTimeWeight = 0.02
+	// minUsualTimes is the number of answers before response times are compared with the mean.
+	// Until then it is the mean of all of them.
+	minUsualTimes = 20
+)
+
+// loadTally counts the load that a Steerer observes, until it is reported. The counters of each
+// server and class are kept with the target and the class, so that a packet of a known flow costs
+// no map access except for an answer.
+type loadTally struct {
+	// interval is the least time between two reports; 0 for no reports.
+	interval time.Duration
+	// now is the time of the packet being processed.
+	now        model.Time
+	reportedAt model.Time
+	sequence   uint64
+	classes    map[room.Class]*classLoad
+	// active are the targets that were used since the last report or have requests in progress.
+	active     []*target
+	usualTimes map[routeOfService]*usualTime
+}
+
+func newLoadTally() loadTally {
+	return loadTally{classes: map[room.Class]*classLoad{}, usualTimes: map[routeOfService]*usualTime{}}
+}
+
+// inProgress is a number of requests in progress and its integral over the time.
+type inProgress struct {
+	count     int
+	sum       float64 // of count x nanoseconds, up to changedAt
+	changedAt model.Time
+}
+
+// add changes the number of requests.
+func (p *inProgress) add(now model.Time, n int) {
+	p.sum += float64(p.count) * float64(now.Sub(p.changedAt))
+	p.changedAt = now
+	p.count += n
+}
+
+// takeMean returns the mean number of requests in progress in an interval that ends now, and
+// starts the next interval.
+func (p *inProgress) takeMean(now model.Time, interval time.Duration) float64 {
+	p.add(now, 0)
+	mean := p.sum / float64(interval)
+	p.sum = 0
+	return mean
+}
+
+// classLoad is the load of a class since the last report, except for InProgress of the counters,
+// which is not used.
+type classLoad struct {
+	class room.Class
+	inProgress
+	room.Counters
+	// targets is the number of targets that refer to the class.
+	targets int
+}
+
+// targetLoad is the load of a target since the last report.
+type targetLoad struct {
+	inProgress
+	samples, failed, logLatency float64
+	// classes are the classes of the requests that the target has had, one for each priority.
+	classes []*classLoad
+	active  bool // set while the target is in loadTally.active
+}
+
+// routeOfService identifies requests that usually take a similar time.
+type routeOfService struct {
+	route   Endpoint
+	service string
+}
+
+// usualTime is the moving mean of the logarithms of response times. A request that takes seven
+// times as long as usual changes it little.
+type usualTime struct {
+	mean  float64
+	count int
+}
+
+// see records the logarithm of a response time and returns its difference from the mean of the
+// earlier ones. ok is false while there are too few of them.
+func (u *usualTime) see(log float64) (difference float64, ok bool) {
+	if u.count < minUsualTimes {
+		u.count++
+		u.mean += (log - u.mean) / float64(u.count)
+		return 0, false
+	}
+	difference = log - u.mean
+	u.mean += usualTimeWeight * difference
+	return difference, true
+}
+
+// SetReportInterval sets the least time between two reports of TakeReport; 0 for no reports.
+func (s *Steerer) SetReportInterval(interval time.Duration) { s.load.interval = interval }
+
+// classOf returns the class of the requests of a priority at a target.
+func (l *loadTally) classOf(t *target, priority uint8) *classLoad {
+	for _, c := range t.load.classes {
+		if c.class.Priority == priority {
+			return c
+		}
+	}
+	c := l.class(room.Class{Service: t.server.Service, Zone: t.server.Zone, Priority: priority})
+	c.targets++
+	t.load.classes = append(t.load.classes, c)
+	return c
+}
+
+// class returns a class and creates it if necessary.
+func (l *loadTally) class(class room.Class) *classLoad {
+	c := l.classes[class]
+	if c == nil {
+		c = &classLoad{class: class}
+		l.classes[class] = c
+	}
+	return c
+}
+
+// forget drops the references of a target that is deleted.
+func (l *loadTally) forget(t *target) {
+	for _, c := range t.load.classes {
+		c.targets--
+	}
+}
+
+// changeBusy changes the requests in progress of a flow's target and class.
+func (l *loadTally) changeBusy(f *flow, n int) {
+	t := &f.target.load
+	l.markActive(f.target)
+	t.add(l.now, n)
+	l.classOf(f.target, f.priority).add(l.now, n)
+}
+
+func (l *loadTally) markActive(t *target) {
+	if !t.load.active {
+		t.load.active = true
+		l.active = append(l.active, t)
+	}
+}
+
+// arrived counts a new flow.
+func (l *loadTally) arrived(f *flow) { l.classOf(f.target, f.priority).Arrivals++ }
+
+// refused counts a new flow that was refused or delayed for lack of capacity of a service in a
+// zone.
+func (l *loadTally) refused(service string, zone model.Zone, priority uint8) {
+	l.class(room.Class{Service: service, Zone: zone, Priority: priority}).Refused++
+}
+
+// answered counts an answer to a request of a flow.
+func (l *loadTally) answered(f *flow, route Endpoint, decision *Decision) {
+	t := &f.target.load
+	l.markActive(f.target)
+	c := l.classOf(f.target, f.priority)
+	if decision.AnswerFailed {
+		c.Failed++
+		t.samples++
+		t.failed++
+		return
+	}
+	c.Completed++
+	c.Latency += decision.ResponseTime
+	key := routeOfService{route, f.target.server.Service}
+	u := l.usualTimes[key]
+	if u == nil {
+		u = &usualTime{}
+		l.usualTimes[key] = u
+	}
+	// The clock may not advance between two packets.
+	if difference, ok := u.see(math.Log(float64(max(decision.ResponseTime, time.Microsecond)))); ok {
+		t.samples++
+		t.logLatency += difference
+	}
+}
+
+// priorityOf returns the priority of the requests of a route.
+func (s *Steerer) priorityOf(route Endpoint) uint8 {
+	if r := s.snapshot.Routes[route]; r != nil {
+		return r.Terms.Priority
+	}
+	return model.LowestPriority
+}
+
+// expireUsualTimes forgets the routes that the configuration no longer has.
+func (s *Steerer) expireUsualTimes() {
+	for key := range s.load.usualTimes {
+		if s.snapshot.Routes[key.route] == nil {
+			delete(s.load.usualTimes, key)
+		}
+	}
+}
+
+// TakeReport returns the load since the last report, or nil until the report interval has
+// passed.
+func (s *Steerer) TakeReport(now model.Time) *room.Report {
+	l := &s.load
+	interval := now.Sub(l.reportedAt)
+	if l.interval == 0 || interval < l.interval {
+		return nil
+	}
+	if l.reportedAt == 0 {
+		interval = l.interval // the traffic began with this packet or shortly before it
+	}
+	l.reportedAt = now
+	l.sequence++
+	r := &room.Report{Sequence: l.sequence, Interval: interval, Instances: 1,
+		Classes: make(map[room.Class]room.Counters, len(l.classes)), Servers: make(map[uint32]room.ServerLoad, len(l.active))}
+	for class, c := range l.classes {
+		if c.targets == 0 && c.Counters == (room.Counters{}) {
+			delete(l.classes, class)
+			continue
+		}
+		c.Counters.InProgress = c.takeMean(now, interval)
+		if c.Counters != (room.Counters{}) {
+			r.Classes[class] = c.Counters
+		}
+		c.Counters = room.Counters{}
+	}
+	l.takeServers(now, r)
+	return r
+}
+
+// takeServers adds the load of the servers to a report.
+func (l *loadTally) takeServers(now model.Time, r *room.Report) {
+	stillActive := l.active[:0]
+	for _, t := range l.active {
+		load := &t.load
+		r.Servers[uint32(t.server.Token)] = room.ServerLoad{Token: uint32(t.server.Token), InProgress: load.takeMean(now, r.Interval),
+			Samples: load.samples, Failed: load.failed, LogLatency: load.logLatency}
+		load.samples, load.failed, load.logLatency = 0, 0, 0
+		if load.active = load.count > 0; load.active {
+			stillActive = append(stillActive, t)
+		}
+	}
+	clear(l.active[len(stillActive):])
+	l.active = stillActive
+}
--- a/internal/core/steering/steerer.go
+++ b/internal/core/steering/steerer.go
@@ -64,13 +64,14 @@
 	lost         lostFlows
 	// answerSizes holds the usual size of the answers of each route.
 	answerSizes map[Endpoint]*answerSize
+	load        loadTally
 }
 
 // NewSteerer returns a Steerer without flows. coldMargin is the number of new flows per
 // second that a cold server can take in addition to its service's ColdPerSecond.
 func NewSteerer(random *rand.Rand, coldMargin float64) *Steerer {
 	return &Steerer{coldMargin: coldMargin, random: random, flows: map[FlowKey]*flow{}, targets: map[Token]*target{},
-		loads: map[string]*serviceLoad{}, lost: newLostFlows(), answerSizes: map[Endpoint]*answerSize{}}
+		loads: map[string]*serviceLoad{}, lost: newLostFlows(), answerSizes: map[Endpoint]*answerSize{}, load: newLoadTally()}
 }
 
 // Flows returns the number of flow records.
@@ -82,6 +83,7 @@
 	if snapshot == nil || snapshot.Version == 0 {
 		return Decision{Reason: model.ReasonNoConfiguration}
 	}
+	s.load.now = now
 	s.setSnapshot(snapshot, now)
 	s.expirePendingSYNs(now)
 	s.sweep(now)
@@ -110,6 +112,7 @@
 				s.requestProbeThrottled(t, now)
 			}
 		} else if t.flows == 0 {
+			s.load.forget(t)
 			delete(s.targets, token)
 		}
 	}
@@ -211,8 +214,9 @@
 		if len(s.flows) >= maxRecords {
 			return
 		}
-		f = &flow{openedAt: now, synSequence: p.Sequence}
+		f = &flow{target: t, openedAt: now, synSequence: p.Sequence, priority: s.priorityOf(p.Key.Route)}
 		s.flows[p.Key] = f
+		s.load.arrived(f)
 	}
 	f.target, f.lastPacketAt, f.sentAt = t, now, now
 	s.addLoad(f)
--- a/internal/traffic/packets/worker.go
+++ b/internal/traffic/packets/worker.go
@@ -37,6 +37,7 @@
 	Codec     port.PacketCodec
 	Snapshots port.SnapshotReader
 	Faults    port.FaultSink
+	Loads     port.LoadSink
 	Clock     port.Clock
 	Recorder  port.Recorder
 	Log       logr.Logger
@@ -114,6 +115,9 @@
 	for token := o.Steerer.TakeUnknownToken(); token != 0; token = o.Steerer.TakeUnknownToken() {
 		o.Faults.UnknownToken(token)
 	}
+	if report := o.Steerer.TakeReport(now); report != nil {
+		o.Loads.ReportLoad(report)
+	}
 	w.log(&decision, snapshot, now)
 	w.resetLostFlows(snapshot, now)
 }
