--- a/internal/adapter/peerudp/codec.go
+++ b/internal/adapter/peerudp/codec.go
@@ -147,8 +147,8 @@
 // cannot allocate much memory.
 var decMode, _ = cbor.DecOptions{MaxArrayElements: 65_536, MaxNestedLevels: 8}.DecMode()
 
-// encode returns the datagram for a message. The error is port.ErrMalformed.
-func encode(m *peer.Message) ([]byte, error) {
+// Encode returns the datagram for a message. The error is port.ErrMalformed.
+func Encode(m *peer.Message) ([]byte, error) {
 	w := wireMessage{Version: formatVersion, Kind: uint8(m.Kind), CallID: m.CallID, From: newWireMember(&m.From), Join: m.Join,
 		Target: addressBytes(m.Target), Revision: m.Revision, Confirmed: m.Confirmed,
 		AgeMs: uint32(max(0, m.Age.Milliseconds())), CutOff: m.CutOff, AfterRevision: m.AfterRevision, Compacted: m.Compacted, Part: m.Part, Parts: m.Parts,
@@ -242,8 +242,8 @@
 	return w
 }
 
-// decode returns the message in a datagram. The error is port.ErrMalformed.
-func decode(datagram []byte) (*peer.Message, error) {
+// Decode returns the message in a datagram. The error is port.ErrMalformed.
+func Decode(datagram []byte) (*peer.Message, error) {
 	var w wireMessage
 	content, epoch, err := untag(datagram)
 	if err == nil {
--- a/internal/adapter/peerudp/codec_test.go
+++ b/internal/adapter/peerudp/codec_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"math"
 	"net/netip"
 	"reflect"
 	"testing"
@@ -50,9 +51,9 @@
 // Guards against a message field that is lost or changed in encoding or decoding.
 func TestMessagesKeepAllFields(t *testing.T) {
 	want := newFullMessage()
-	b, err := encode(want)
+	b, err := Encode(want)
 	require.NoError(t, err)
-	got, err := decode(b)
+	got, err := Decode(b)
 	require.NoError(t, err)
 	require.Equal(t, want, got)
 	fields := reflect.ValueOf(*want)
@@ -65,7 +66,7 @@
 // messages of later ones, or whose messages later ones cannot decode.
 func TestMessagesWithoutAnEpochAreUnderstood(t *testing.T) {
 	want := newFullMessage()
-	b, err := encode(want)
+	b, err := Encode(want)
 	require.NoError(t, err)
 	var earlier wireMessage
 	require.NoError(t, decMode.Unmarshal(b, &earlier), "a decoder that does not know the tag")
@@ -73,12 +74,12 @@
 
 	b, err = cbor.Marshal(&earlier)
 	require.NoError(t, err)
-	got, err := decode(b)
+	got, err := Decode(b)
 	require.NoError(t, err)
 	want.Epoch = 0
 	require.Equal(t, want, got)
 	want.Epoch = maxEpoch + 1
-	_, err = encode(want)
+	_, err = Encode(want)
 	require.ErrorIs(t, err, port.ErrMalformed)
 }
 
@@ -87,9 +88,9 @@
 func TestInvalidEntriesStayInvalid(t *testing.T) {
 	m := newFullMessage()
 	m.Entries = []catalog.Entry{{Key: "servers/a", Revision: 1, Err: port.ErrMalformed}}
-	b, err := encode(m)
+	b, err := Encode(m)
 	require.NoError(t, err)
-	got, err := decode(b)
+	got, err := Decode(b)
 	require.NoError(t, err)
 	require.ErrorIs(t, got.Entries[0].Err, port.ErrMalformed)
 }
@@ -101,9 +102,9 @@
 	odd := *m.Entries[2].Server
 	odd.Address = netip.MustParseAddrPort("10.1.0.10:0")
 	m.Entries = []catalog.Entry{{Key: "servers/odd", Revision: 40, Server: &odd}, m.Entries[2]}
-	b, err := encode(m)
+	b, err := Encode(m)
 	require.NoError(t, err)
-	got, err := decode(b)
+	got, err := Decode(b)
 	require.NoError(t, err)
 	require.Len(t, got.Entries, 2)
 	require.Nil(t, got.Entries[0].Server)
@@ -112,16 +113,16 @@
 
 	m = newFullMessage()
 	m.Entries[0].Config.Services[0].ColdPerSecond = -1
-	b, err = encode(m)
+	b, err = Encode(m)
 	require.NoError(t, err)
-	_, err = decode(b)
+	_, err = Decode(b)
 	require.ErrorIs(t, err, port.ErrMalformed)
 }
 
 // Guards against datagrams of other programs that cause a panic or are accepted without
 // a sender.
 func FuzzDecodeMessage(f *testing.F) {
-	b, err := encode(newFullMessage())
+	b, err := Encode(newFullMessage())
 	require.NoError(f, err)
 	f.Add(b)
 	f.Add([]byte{0x80})
@@ -129,7 +130,7 @@
 	f.Add([]byte{0x9b, 0, 0, 0, 0xff, 0xff, 0xff, 0xff}) // an array of 2^32 items
 	f.Add([]byte{0xda, 0x53, 0x54, 0, 3, 0x80})          // a tag with an epoch
 	f.Fuzz(func(t *testing.T, datagram []byte) {
-		m, err := decode(datagram)
+		m, err := Decode(datagram)
 		if err != nil {
 			require.ErrorIs(t, err, port.ErrMalformed)
 			return
@@ -187,3 +188,14 @@
 		}
 	}
 }
+
+// Guards against loads of thousands of instances that add up to too little, because each is rounded
+// to 0, and against numbers that wrap around.
+func TestAmountsKeepTheirPrecision(t *testing.T) {
+	for v := 1e-4; v < 4e6; v *= 1.37 {
+		require.InEpsilon(t, v, amount(appendAmount(nil, v)), 0.01)
+	}
+	for v, want := range map[float64]float64{0: 0, -1: 0, math.NaN(): 0, 2047.9: 2048, 1e12: 2047 << 11, math.Inf(1): 2047 << 11} {
+		require.EqualValues(t, want, amount(appendAmount(nil, v)), "%v", v)
+	}
+}
--- a/internal/adapter/peerudp/load.go
+++ b/internal/adapter/peerudp/load.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"math"
+	"math/bits"
 	"slices"
 	"time"
 
@@ -27,9 +28,10 @@
 	Names []string
 	// Zones alternates between the index of a zone in Names and its number of instances.
 	Zones []int
-	// Classes holds, for each class, the indexes of its service and zone and the priority, one byte
-	// each, and the requests in progress, the arrivals, completed, failed and refused requests and
-	// the mean response time in milliseconds, two bytes each.
+	// Classes holds, for each class, the indexes of its service and zone, the priority and a mask, one
+	// byte each. For each bit of the mask, from the lowest, a number follows in two bytes: the
+	// requests in progress, the arrivals, completed, failed and refused requests and the mean
+	// response time in milliseconds. The others are 0.
 	Classes []byte
 	// Servers holds, for each server, its token in four bytes, the requests in progress and the
 	// samples in two bytes each, and the failed share in units of 1/255 and the mean log latency
@@ -38,7 +40,8 @@
 }
 
 const (
-	classLoadBytes  = 3 + 6*2
+	classHeadBytes  = 4
+	classAmounts    = 6
 	serverLoadBytes = 4 + 2*2 + 2
 	// logLatencyUnits makes a byte hold ratios from 1/50 to 50 with steps of 3 %.
 	logLatencyUnits = 32
@@ -54,6 +57,7 @@
 	mantissaBits = 11
 	amountBias   = 20
 	maxExponent  = 31
+	maxAmount    = (1<<mantissaBits - 1) << (maxExponent - amountBias)
 )
 
 // appendAmount appends a number of at least 0 in two bytes. Numbers out of range are limited.
@@ -61,14 +65,15 @@
 	if !(v > 0) {
 		return append(b, 0, 0)
 	}
+	v = min(v, maxAmount)
 	_, exponent := math.Frexp(v)
 	e := min(max(exponent-mantissaBits+amountBias, 0), maxExponent)
 	m := math.Round(math.Ldexp(v, amountBias-e))
-	if m >= 1<<mantissaBits && e < maxExponent {
+	if m >= 1<<mantissaBits {
 		e++ // rounded up to the next power of two
 		m = math.Round(math.Ldexp(v, amountBias-e))
 	}
-	return binary.BigEndian.AppendUint16(b, uint16(e)<<mantissaBits|uint16(min(m, 1<<mantissaBits-1)))
+	return binary.BigEndian.AppendUint16(b, uint16(e)<<mantissaBits|uint16(m))
 }
 
 func amount(b []byte) float64 {
@@ -76,6 +81,37 @@
 	return math.Ldexp(float64(v&(1<<mantissaBits-1)), int(v>>mantissaBits)-amountBias)
 }
 
+// appendCounters appends the mask of the counters that are not 0 and these counters.
+func appendCounters(b []byte, c *room.Counters) []byte {
+	mask := len(b)
+	b = append(b, 0)
+	for i, v := range [classAmounts]float64{c.InProgress, c.Arrivals, c.Completed, c.Failed, c.Refused, float64(c.MeanLatency()) / float64(time.Millisecond)} {
+		if v > 0 {
+			b[mask] |= 1 << i
+			b = appendAmount(b, v)
+		}
+	}
+	return b
+}
+
+// counters decodes the result of appendCounters and returns the bytes that follow it. ok is false
+// if b is too short.
+func counters(b []byte) (c room.Counters, rest []byte, ok bool) {
+	mask, b := b[0], b[1:]
+	if mask>>classAmounts != 0 || len(b) < 2*bits.OnesCount8(mask) {
+		return c, nil, false
+	}
+	var values [classAmounts]float64
+	for i := range values {
+		if mask>>i&1 != 0 {
+			values[i], b = amount(b), b[2:]
+		}
+	}
+	c = room.Counters{InProgress: values[0], Arrivals: values[1], Completed: values[2], Failed: values[3], Refused: values[4]}
+	c.Latency = time.Duration(values[5] * c.Completed * float64(time.Millisecond))
+	return c, b, true
+}
+
 // nameIndex returns the index of a name and adds it if necessary.
 func (w *wireLoad) nameIndex(name string) int {
 	i := slices.Index(w.Names, name)
@@ -95,9 +131,7 @@
 	}
 	for class, c := range r.Classes {
 		w.Classes = append(w.Classes, byte(w.nameIndex(class.Service)), byte(w.nameIndex(string(class.Zone))), class.Priority)
-		for _, v := range []float64{c.InProgress, c.Arrivals, c.Completed, c.Failed, c.Refused, float64(c.MeanLatency()) / float64(time.Millisecond)} {
-			w.Classes = appendAmount(w.Classes, v)
-		}
+		w.Classes = appendCounters(w.Classes, &c)
 	}
 	if len(w.Names) > maxNames {
 		return nil, merry.Errorf("load report with %d names", len(w.Names))
@@ -120,7 +154,7 @@
 
 func (w *wireLoad) report() (*peer.LoadReport, error) {
 	if !peer.Scope(w.Scope).Valid() || w.Origin == "" || w.Instances < 0 || w.Instances > maxInstances || len(w.Zones)%2 != 0 ||
-		len(w.Classes)%classLoadBytes != 0 || len(w.Servers)%serverLoadBytes != 0 {
+		len(w.Servers)%serverLoadBytes != 0 {
 		return nil, merry.Errorf("load report of %q with scope %d and %d instances", w.Origin, w.Scope, w.Instances)
 	}
 	r := &room.Report{Sequence: w.Sequence, Interval: time.Duration(w.IntervalMs) * time.Millisecond, Instances: w.Instances}
@@ -135,14 +169,17 @@
 		}
 		r.Zones[model.Zone(w.Names[index])] = n
 	}
-	r.Classes = make(map[room.Class]room.Counters, len(w.Classes)/classLoadBytes)
-	for b := w.Classes; len(b) > 0; b = b[classLoadBytes:] {
-		if index := max(b[0], b[1]); int(index) >= len(w.Names) {
-			return nil, merry.Errorf("load report with name index %d", index)
+	r.Classes = map[room.Class]room.Counters{}
+	for b := w.Classes; len(b) > 0; {
+		if len(b) < classHeadBytes || int(max(b[0], b[1])) >= len(w.Names) {
+			return nil, merry.Errorf("load report with an invalid class and %d names", len(w.Names))
+		}
+		class := room.Class{Service: w.Names[b[0]], Zone: model.Zone(w.Names[b[1]]), Priority: b[2]}
+		c, rest, ok := counters(b[3:])
+		if !ok {
+			return nil, merry.Errorf("load report with invalid counters of %s", class.Service)
 		}
-		c := room.Counters{InProgress: amount(b[3:]), Arrivals: amount(b[5:]), Completed: amount(b[7:]), Failed: amount(b[9:]), Refused: amount(b[11:])}
-		c.Latency = time.Duration(amount(b[13:]) * c.Completed * float64(time.Millisecond))
-		r.Classes[room.Class{Service: w.Names[b[0]], Zone: model.Zone(w.Names[b[1]]), Priority: b[2]}] = c
+		r.Classes[class], b = c, rest
 	}
 	r.Servers = make(map[uint32]room.ServerLoad, len(w.Servers)/serverLoadBytes)
 	for b := w.Servers; len(b) > 0; b = b[serverLoadBytes:] {
--- a/internal/adapter/peerudp/size_test.go
+++ b/internal/adapter/peerudp/size_test.go
@@ -20,7 +20,7 @@
 	self := model.Member{ID: "edge-halle-a-12", Zone: "halle-a", Incarnation: 1769922834115000000, PeerAddress: at, Capacity: 200}
 	m := &peer.Message{Kind: peer.Probe, CallID: 70_000, From: self, Revision: 100_000, Confirmed: true}
 	size := func() int {
-		b, err := encode(m)
+		b, err := Encode(m)
 		require.NoError(t, err)
 		return len(b)
 	}
--- a/internal/adapter/peerudp/socket.go
+++ b/internal/adapter/peerudp/socket.go
@@ -42,7 +42,7 @@
 // Send implements port.PeerSender. Senders repeat lost messages, so errors are only
 // counted.
 func (s *Socket) Send(to model.Member, m *peer.Message) {
-	datagram, err := encode(m)
+	datagram, err := Encode(m)
 	if err == nil && len(datagram) > maxDatagram {
 		err = port.ErrTooLarge
 	}
@@ -71,7 +71,7 @@
 			// The error belongs to an earlier message, such as one to a closed port.
 			s.recorder.Count(part, model.ReasonPeerUnreachable)
 		default:
-			if m, err := decode(buffer[:n]); err == nil {
+			if m, err := Decode(buffer[:n]); err == nil {
 				s.traffic.received[m.Cause()][s.traffic.scope(m.From.Zone)].add(n)
 				receive(m)
 			} else {
--- a/internal/app/steer/instance.go
+++ b/internal/app/steer/instance.go
@@ -142,7 +142,7 @@
 }
 
 // gauges returns the number of log lines that were left out, the counters of the control
-// goroutine and the traffic with other instances.
+// goroutine, the load of the fleet and the traffic with other instances.
 func (i *Instance) gauges() map[string]float64 {
 	out := map[string]float64{"log_lines_left_out": float64(i.linesLeftOut())}
 	if c := i.control.Counts(); c != nil {
@@ -153,6 +153,9 @@
 		}
 		out["control_lag_ms"] = float64(c.LagMs)
 	}
+	if s := i.control.Snapshot(); s != nil {
+		addLoadGauges(out, s.Room)
+	}
 	for _, t := range i.peers.Traffic() {
 		scope := "other_zones"
 		if t.OwnZone {
@@ -195,7 +198,8 @@
 		"seeds", len(s.Seeds), "link_mbps", s.LinkMbps, "config_apply_ms", s.Bounds.ConfigApply.Milliseconds(),
 		"drain_ms", s.Bounds.Drain.Milliseconds(), "evacuation_ms", s.Bounds.Evacuation.Milliseconds(),
 		"follow_ms", registryBounds(s).FollowTime().Milliseconds(), "stop_grace_ms", s.Bounds.StopGrace.Milliseconds(),
-		"flow_lifetime_ms", s.Bounds.FlowLifetime.Milliseconds(), "cold_margin", s.Bounds.ColdMargin)
+		"flow_lifetime_ms", s.Bounds.FlowLifetime.Milliseconds(), "cold_margin", s.Bounds.ColdMargin,
+		"load_interval_ms", s.LoadInterval.Milliseconds())
 	var err error
 	select {
 	case err = <-failed:
--- a/internal/control/registry/load.go
+++ b/internal/control/registry/load.go
@@ -15,6 +15,11 @@
 	// busyShare is the share of the slots of a service in the zone above which reports are sent at
 	// the shorter interval.
 	busyShare = 0.5
+	// zoneLoadInterval is the least time between two reports of a relay to those of other zones. They
+	// serve spillover, which is slower than admission, and a relay also has the most children.
+	zoneLoadInterval = 500 * time.Millisecond
+	// maxLoadParts limits the parts of a report. The most entries of one need 3.
+	maxLoadParts = 8
 )
 
 // loads is the state of the machine that concerns load reports.
@@ -116,7 +121,10 @@
 		return // the view expires, and then the other instances stop to send as well
 	}
 	fleet.Sequence = l.sequence
-	m.sendLoadReport(peer.ZoneScope, sum, m.otherRelays())
+	every := max(1, (zoneLoadInterval+interval-1)/interval)
+	if l.sequence%uint64(every) == 0 {
+		m.sendLoadReport(peer.ZoneScope, sum.Over(every*interval), m.otherRelays())
+	}
 	l.sum.SetFleet(m.now, l.self, fleet)
 	m.sendLoadReport(peer.FleetScope, fleet, m.peers.tree.children())
 	m.updateView()
@@ -142,7 +150,7 @@
 // forwarded down the tree at once.
 func (m *machine) receiveLoad(message *peer.Message) {
 	l, report, part, parts := &m.loads, message.Load.Report, message.Part, message.Parts
-	if l.interval == 0 || parts < 1 || part < 0 || part >= parts || message.Load.Origin.ID == l.self.ID {
+	if l.interval == 0 || part < 0 || part >= parts || parts > maxLoadParts || message.Load.Origin.ID == l.self.ID {
 		return
 	}
 	ownZone, origin := message.From.Zone == m.zone, message.Load.Origin
--- a/internal/control/registry/load_test.go
+++ b/internal/control/registry/load_test.go
@@ -116,3 +116,102 @@
 		require.False(t, l.snapshots[i].Room.Usable)
 	}
 }
+
+// Guards against load that is counted twice or lost because messages are repeated, reordered,
+// delayed by up to two seconds or lost.
+func TestRepeatedAndDelayedLoadReportsDoNoHarm(t *testing.T) {
+	l := newLoadFleet(t, 64, 4)
+	l.onEffect = func(_ int, x effect) {
+		send, ok := x.(effSend)
+		if !ok || send.message.Kind != peer.Load {
+			return
+		}
+		for range l.random.IntN(3) {
+			copied := *send.message
+			l.post(l.now+model.Time(l.random.IntN(2000))*ms, l.byAddr[send.to.PeerAddress], evMessage{&copied})
+		}
+	}
+	l.serve(8 * time.Second)
+	l.requireUsable()
+	l.blocked = func(int, int) bool { return l.random.IntN(20) == 0 }
+	l.serve(3 * time.Second)
+	l.requireUsable()
+}
+
+// Guards against the load of instances that were just killed, which would make the servers look
+// full, and against a view that stays usable while most of the zone is missing. 36 of 64 instances
+// are killed at once, the relays among them.
+func TestLoadOfKilledInstancesExpires(t *testing.T) {
+	l := newLoadFleet(t, 64, 4)
+	l.serve(6 * time.Second)
+	l.requireUsable()
+	for i := range 36 {
+		l.kill(i)
+	}
+	l.serve(4 * time.Second) // for the longest interval, at each of three levels of the tree
+	for i := 36; i < 64; i++ {
+		if l.snapshots[i].Room.Usable {
+			require.LessOrEqual(t, l.zone(i).Total.InProgress, 1.1*28*l.perInstance)
+		}
+	}
+	l.serve(26 * time.Second)
+	l.requireUsable()
+}
+
+// Guards against a zone without usable view while it is cut off, against old load of the zones that
+// it does not reach, and against a zone whose instances all start again, with new sequence numbers,
+// that is ignored.
+func TestZonesThatAreCutOffOrReturnEmpty(t *testing.T) {
+	l := newLoadFleet(t, 32, 4)
+	l.perInstance = 1
+	l.serve(6 * time.Second)
+	l.blocked = func(from, to int) bool { return (from%4 == 1) != (to%4 == 1) }
+	l.serve(5 * time.Second)
+	for i := range l.nodes {
+		view := l.snapshots[i].Room
+		require.True(t, view.Usable, "instance %d", i)
+		if i%4 == 1 {
+			require.Equal(t, map[model.Zone]int{"z1": 8}, view.Instances)
+			require.InEpsilon(t, 8, l.zone(i).Total.InProgress, 0.1)
+		} else {
+			require.Equal(t, map[model.Zone]int{"z0": 8, "z2": 8, "z3": 8}, view.Instances)
+		}
+	}
+	l.blocked = nil
+	for i := 1; i < 32; i += 4 {
+		l.kill(i)
+	}
+	l.serve(6 * time.Second)
+	for i := 1; i < 32; i += 4 {
+		l.start(i, 4)
+		l.enable(i)
+	}
+	l.serve(2 * time.Second)
+	for i := 1; i < 32; i += 4 {
+		if s := l.snapshots[i]; s != nil && s.Room != nil {
+			require.False(t, s.Room.Usable, "instance %d has just started", i)
+		}
+	}
+	l.serve(15 * time.Second)
+	l.requireUsable()
+}
+
+// Guards against decisions from the load of one instance alone, which the others do not share.
+func TestAnInstanceAloneHasNoUsableView(t *testing.T) {
+	l := newLoadFleet(t, 1, 1)
+	l.serve(6 * time.Second)
+	require.False(t, l.snapshots[0].Room.Usable)
+}
+
+// Guards against a burst that is noticed only after several long intervals: one of the report and
+// one at each of three levels of the tree.
+func TestBurstsShortenTheInterval(t *testing.T) {
+	l := newLoadFleet(t, 32, 1)
+	l.perInstance = 0.1
+	l.serve(6 * time.Second)
+	l.perInstance = 3
+	l.serve(4 * testLoadInterval)
+	for i := range l.nodes {
+		require.InEpsilon(t, 3*32, l.zone(i).Total.InProgress, 0.1, "instance %d", i)
+	}
+}
--- a/internal/core/peer/load.go
+++ b/internal/core/peer/load.go
@@ -11,7 +11,7 @@
 // message, with the names of some services and zones.
 const (
 	loadOverhead    = 250
-	classLoadSize   = 16
+	classLoadSize   = 17
 	serverLoadSize  = 10
 	loadPartEntries = maxMessageBytes - loadOverhead
 )
--- a/internal/core/room/aggregate.go
+++ b/internal/core/room/aggregate.go
@@ -89,11 +89,12 @@
 	zone model.Zone
 	// longestInterval is the longest interval between two reports of an instance.
 	longestInterval time.Duration
-	// own is the load of this instance, open what it reported since the last sum.
-	own, open *Report
-	ownAt     model.Time
-	servers   servers
-	children  map[model.InstanceID]*source
+	// own is the load of this instance, open what it reported since the last sum and newest its
+	// last report, received at ownAt.
+	own, open, newest *Report
+	ownAt             model.Time
+	servers           servers
+	children          map[model.InstanceID]*source
 	// zones holds the sums of the other zones, fleet that of all zones.
 	zones   map[model.Zone]*source
 	fleet   source
@@ -113,24 +114,21 @@
 		return
 	}
 	a.servers.observe(now, r.Servers)
-	a.ownAt = now
+	a.newest, a.ownAt = r, now
 	if a.open == nil {
 		a.open = &Report{Instances: 1, Classes: map[Class]Counters{}}
 	}
-	// The numbers in progress are weighted with the time that they cover.
-	total := a.open.Interval + r.Interval
-	before, part := float64(a.open.Interval)/float64(total), float64(r.Interval)/float64(total)
+	// The numbers in progress are those of the newest report, so that a burst shows at once.
 	for class, counters := range a.open.Classes {
-		counters.InProgress *= before
+		counters.InProgress = 0
 		a.open.Classes[class] = counters
 	}
 	for class, counters := range r.Classes {
-		counters.InProgress *= part
 		sum := a.open.Classes[class]
 		sum.Add(&counters)
 		a.open.Classes[class] = sum
 	}
-	a.open.Interval = total
+	a.open.Interval += r.Interval
 }
 
 // ReceiveChild records a part of the report of a child.
@@ -202,17 +200,14 @@
 	return r != nil && now.Sub(a.ownAt) < a.validity(r)
 }
 
-// OwnInProgress returns the requests in progress through this instance, by service.
+// OwnInProgress returns the requests in progress through this instance in its last report, by
+// service.
 func (a *Aggregator) OwnInProgress(now model.Time) map[string]float64 {
 	out := map[string]float64{}
 	if !a.ownValid(now) {
 		return out
 	}
-	r := a.open
-	if r == nil {
-		r = a.own
-	}
-	for class, counters := range r.Classes {
+	for class, counters := range a.newest.Classes {
 		out[class.Service] += counters.InProgress
 	}
 	return out
@@ -266,6 +261,17 @@
 	return &Report{Interval: interval, Classes: map[Class]Counters{}, Servers: map[uint32]ServerLoad{}, Zones: map[model.Zone]int{}}
 }
 
+// Over returns the report with counters that cover another interval.
+func (r *Report) Over(interval time.Duration) *Report {
+	out := *r
+	out.Interval, out.Classes = interval, make(map[Class]Counters, len(r.Classes))
+	for class, counters := range r.Classes {
+		counters.scale(float64(interval) / float64(r.Interval))
+		out.Classes[class] = counters
+	}
+	return &out
+}
+
 // Loaded reports whether the report has any load.
 func (r *Report) Loaded() bool {
 	for _, counters := range r.Classes {
