--- a/internal/adapter/peerudp/codec.go
+++ b/internal/adapter/peerudp/codec.go
@@ -52,6 +52,7 @@
 	Parts              int
 	UnreachableServers []wireServerRun
 	Tokens             []steering.Token
+	Load               *wireLoad
 }
 
 type wireServerRun struct {
@@ -146,8 +147,8 @@
 // cannot allocate much memory.
 var decMode, _ = cbor.DecOptions{MaxArrayElements: 65_536, MaxNestedLevels: 8}.DecMode()
 
-// encode returns the datagram for a message. The error is port.ErrMalformed.
-func encode(m *peer.Message) ([]byte, error) {
+// Encode returns the datagram for a message. The error is port.ErrMalformed.
+func Encode(m *peer.Message) ([]byte, error) {
 	w := wireMessage{Version: formatVersion, Kind: uint8(m.Kind), CallID: m.CallID, From: newWireMember(&m.From), Join: m.Join,
 		Target: addressBytes(m.Target), Revision: m.Revision, Confirmed: m.Confirmed,
 		AgeMs: uint32(max(0, m.Age.Milliseconds())), CutOff: m.CutOff, AfterRevision: m.AfterRevision, Compacted: m.Compacted, Part: m.Part, Parts: m.Parts,
@@ -161,7 +162,14 @@
 	for i := range m.Entries {
 		w.Entries = append(w.Entries, newWireEntry(&m.Entries[i]))
 	}
-	b, err := cbor.Marshal(&w)
+	var err error
+	if m.Load != nil {
+		w.Load, err = newWireLoad(m.Load)
+	}
+	var b []byte
+	if err == nil {
+		b, err = cbor.Marshal(&w)
+	}
 	if err == nil && m.Epoch > maxEpoch {
 		err = merry.Errorf("epoch %d is over %d", m.Epoch, maxEpoch)
 	}
@@ -234,8 +242,8 @@
 	return w
 }
 
-// decode returns the message in a datagram. The error is port.ErrMalformed.
-func decode(datagram []byte) (*peer.Message, error) {
+// Decode returns the message in a datagram. The error is port.ErrMalformed.
+func Decode(datagram []byte) (*peer.Message, error) {
 	var w wireMessage
 	content, epoch, err := untag(datagram)
 	if err == nil {
@@ -266,6 +274,12 @@
 		e, err = w.Entries[i].entry()
 		m.Entries = append(m.Entries, e)
 	}
+	if err == nil && w.Load != nil {
+		m.Load, err = w.Load.report()
+	}
+	if err == nil && m.Kind == peer.Load && m.Load == nil {
+		err = merry.Errorf("load message without a report")
+	}
 	if err != nil {
 		return nil, merry.Wrap(port.ErrMalformed, merry.WithCause(err))
 	}
