--- a/internal/adapter/operatorcli/beliefs.go
+++ b/internal/adapter/operatorcli/beliefs.go
@@ -10,14 +10,14 @@
 
 // beliefsCommand shows the view of a savorysteer instance: its configuration, how far it goes
 // with the registry, entries that it cannot use, and the servers with their state and the age
-// of the last probe.
-type beliefsCommand struct{}
+// of the last probe and what all instances observed of it.
+type beliefsCommand struct{ statusFilter }
 
 // Run shows the status of the instance. It returns errRefused if the instance is not
 // ready.
 func (c *beliefsCommand) Run(r *commandEnv) error {
 	var s steerstatus.Status
-	if err := r.client.get(steerstatus.StatusPath, nil, &s); err != nil {
+	if err := r.client.get(steerstatus.StatusPath, c.query(), &s); err != nil {
 		return err
 	}
 	err := r.print(&s, func(w io.Writer) {
@@ -33,14 +33,17 @@
 			x := &s.UnusableEntries[i]
 			fmt.Fprintf(w, "  unusable entry %s, revision %d, seen %v ago: %s\n", x.Key, x.Revision, time.Duration(x.SeenMsAgo)*time.Millisecond, x.Reason)
 		}
+		t := newTable(w, "SERVER", "SERVICE", "ZONE", "ADDRESS", "STATE", "LAST PROBE", "SLOTS", "IN PROGRESS", "RELATIVE TIME", "FAILED", "SAMPLES", "LOAD AGE")
 		for i := range s.Servers {
 			x := &s.Servers[i]
 			probed := "never probed"
 			if x.ProbedMsAgo >= 0 {
-				probed = fmt.Sprintf("probed %v ago", time.Duration(x.ProbedMsAgo)*time.Millisecond)
+				probed = "probed " + formatAgo(x.ProbedMsAgo)
 			}
-			fmt.Fprintf(w, "  %-20s %-12s %-12s %-22s %-11s %s\n", x.ID, x.Service, x.Zone, x.Address, x.State, probed)
+			t.row(append([]any{x.ID, x.Service, x.Zone, x.Address, x.State, probed, x.Slots}, loadColumns(x.Load)...)...)
 		}
+		t.flush()
+		printCut(w, "servers", len(s.Servers), s.ServersTotal)
 	})
 	if err == nil && !s.Ready {
 		return errRefused
--- a/internal/adapter/operatorcli/whycause.go
+++ b/internal/adapter/operatorcli/whycause.go
@@ -20,6 +20,8 @@
 	causeRouteRemoved     = "a configuration removed the route of the flow"
 	causeUnknownToken     = "the instance did not know the server whose token the packets carry"
 	causeNoServer         = "no server of the service could accept a new flow"
+	causeOverloaded       = "the service was short of capacity, and the limit for the priority of the route was reached; the flow was refused before it opened, so no request ran"
+	causeHeld             = "the service was short of capacity; the first packet was dropped so that the caller's retransmission is decided anew"
 	causeNoConfiguration  = "the instance had no configuration yet"
 	causeRegistryLost     = "the instance had lost contact with the registry and may have used an outdated view"
 	causeRegistryRestored = "the registry had been restored from a copy that lacked its latest changes"
@@ -33,7 +35,7 @@
 var causeOfReason = map[string]string{
 	"server_failed": causeServerFailed, "server_removed": causeServerRemoved, "unknown_service": causeNoRoute,
 	"route_removed": causeRouteRemoved, "unknown_token": causeUnknownToken, "no_capacity": causeNoServer,
-	"no_configuration": causeNoConfiguration,
+	"no_configuration": causeNoConfiguration, "overloaded": causeOverloaded, "held": causeHeld,
 }
 
 // viewWasBehind reports whether a flow was reset for lack of a route by an older configuration
--- a/internal/adapter/steerstatus/status.go
+++ b/internal/adapter/steerstatus/status.go
@@ -37,6 +37,8 @@
 	// Version is the version of the configuration in force, or 0 if there is none.
 	Version uint64 `json:"config_version"`
 	Routes  int    `json:"routes"`
+	// RouteTerms holds the routes, at most maxEntries of them.
+	RouteTerms []Route `json:"route_terms"`
 	// ConfirmedMsAgo is the time in milliseconds since this view was last confirmed to
 	// match the registry.
 	ConfirmedMsAgo int64 `json:"confirmed_ms_ago"`
@@ -57,8 +59,13 @@
 	// InstancesInZone is the number of live instances in the zone, including this one.
 	InstancesInZone int `json:"instances_in_zone"`
 	// Flows is the number of flow records.
-	Flows   int64    `json:"flows"`
-	Servers []Server `json:"servers"`
+	Flows int64 `json:"flows"`
+	// Load is the load of the fleet.
+	Load Load `json:"load"`
+	// Servers holds at most maxEntries of ServersTotal servers, with preference to those that
+	// fail or are slow.
+	Servers      []Server `json:"servers"`
+	ServersTotal int      `json:"servers_total"`
 }
 
 // UnusableEntry is an entry of the registry whose value is invalid.
@@ -84,6 +91,9 @@
 	// there was none.
 	ProbedMsAgo int64  `json:"probed_ms_ago"`
 	Token       uint32 `json:"token"`
+	Slots       int    `json:"slots"`
+	// Load is nil if nothing is known of it.
+	Load *ServerLoad `json:"load,omitempty"`
 }
 
 // Source provides the data of the endpoints. Its functions must be safe for concurrent
@@ -104,16 +114,21 @@
 func (s *Source) Server() *http.Server {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+MetricsPath, func(w http.ResponseWriter, _ *http.Request) { s.writeMetrics(w) })
-	mux.HandleFunc("GET "+StatusPath, func(w http.ResponseWriter, _ *http.Request) {
+	mux.HandleFunc("GET "+StatusPath, func(w http.ResponseWriter, r *http.Request) {
+		query := r.URL.Query()
+		status := s.status(Filter{Service: query.Get("service"), Zone: query.Get("zone")})
+		status.Servers = limitServers(status.Servers)
 		w.Header().Set("Content-Type", "application/json")
 		// An error means that the client has closed the connection.
-		_ = json.NewEncoder(w).Encode(s.status())
+		_ = json.NewEncoder(w).Encode(status)
 	})
 	return &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout, WriteTimeout: responseTimeout, IdleTimeout: responseTimeout}
 }
 
-func (s *Source) status() Status {
-	out := Status{Instance: s.Instance, Ready: s.Ready(), Flows: s.Flows(), RestoredMsAgo: -1, UnusableEntries: []UnusableEntry{}, Servers: []Server{}}
+// status returns the status with all servers that the filter selects.
+func (s *Source) status(f Filter) Status {
+	out := Status{Instance: s.Instance, Ready: s.Ready(), Flows: s.Flows(), RestoredMsAgo: -1, UnusableEntries: []UnusableEntry{}, Servers: []Server{},
+		RouteTerms: []Route{}, Load: Load{AgeMs: -1, Reason: "no configuration yet", Instances: map[string]int{}, Zones: []ZoneLoad{}}}
 	v, now := s.Snapshots.Snapshot(), s.Clock.Now()
 	if v == nil {
 		return out
@@ -127,14 +142,20 @@
 	for _, e := range v.Registry.UnusableEntries {
 		out.UnusableEntries = append(out.UnusableEntries, UnusableEntry{e.Key, e.Revision, e.Reason, now.Sub(e.Since).Milliseconds()})
 	}
+	out.RouteTerms, out.Load = routesOf(v), loadOf(v, now, f)
 	for _, server := range v.Servers.Sorted() {
+		if !f.matches(server.Service, string(server.Zone)) {
+			continue
+		}
 		probed := int64(-1)
 		if server.ProbeSentAt != 0 {
 			probed = now.Sub(server.ProbeSentAt).Milliseconds()
 		}
 		out.Servers = append(out.Servers, Server{ID: string(server.ID), Service: server.Service, Zone: string(server.Zone),
-			Address: server.Address.String(), State: serverState(server, v, now), ProbedMsAgo: probed, Token: uint32(server.Token)})
+			Address: server.Address.String(), State: serverState(server, v, now), ProbedMsAgo: probed, Token: uint32(server.Token),
+			Slots: server.Slots, Load: serverLoad(server, v, now)})
 	}
+	out.ServersTotal = len(out.Servers)
 	return out
 }
 
@@ -174,7 +195,7 @@
 		fmt.Fprintf(w, "latency_ms{%s,quantile=\"0.99\"} %.1f\n", labels, h.P99Ms)
 		fmt.Fprintf(w, "latency_ms{%s,quantile=\"1\"} %.1f\n", labels, h.MaxMs)
 	}
-	status := s.status()
+	status := s.status(Filter{})
 	gauges := s.Gauges()
 	gauges["flows"] = float64(status.Flows)
 	gauges["config_version"] = float64(status.Version)
