steering: a preview of the decision about a new flow

Cause: operators ask where a new flow would go now, and why. The answer has to come from the decision function of the traffic, which changes its state with each decision, and from the goroutine that owns the state and blocks on its socket.

Change: Steerer.Preview runs Decide on a copy of what the decision may change. Flow records are copied only if they are due to change, targets when they are used, and random numbers that were drawn ahead are drawn again by the next decision. Worker.Preview passes the question through a channel and ends the read of the socket by a deadline that has passed, so a packet costs nothing more and no datagram is lost.

Result: in 30,000 random packets a Steerer with previews decided as its twin without them, and each preview of a SYN was the decision that followed.

--- a/internal/adapter/udp/udp.go
+++ b/internal/adapter/udp/udp.go
@@ -2,8 +2,11 @@
 package udp
 
 import (
+	"errors"
 	"net"
 	"net/netip"
+	"os"
+	"time"
 
 	"github.com/ansel1/merry/v2"
 
@@ -40,9 +43,23 @@
 // Receive implements port.PacketSocket.
 func (s *Socket) Receive(buffer []byte) (int, error) {
 	n, _, err := s.conn.ReadFromUDPAddrPort(buffer)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		// A Wake that follows this line takes effect with the next Receive.
+		_ = s.conn.SetReadDeadline(time.Time{}) // fails only if the socket is closed
+		return 0, port.ErrWoken
+	}
 	return n, err
 }
 
+// Wake implements port.PacketSocket. A deadline that has passed ends a read at once, needs no
+// timer, and leaves the datagrams in the kernel's queue.
+func (s *Socket) Wake() error {
+	if err := s.conn.SetReadDeadline(time.Unix(1, 0)); err != nil {
+		return merry.Wrap(port.ErrUnavailable, merry.WithCause(err))
+	}
+	return nil
+}
+
 // SendPacket implements port.PacketSocket.
 func (s *Socket) SendPacket(to netip.AddrPort, packet []byte) error {
 	if _, err := s.conn.WriteToUDPAddrPort(packet, to); err != nil {
--- a/internal/core/belief/traffic.go
+++ b/internal/core/belief/traffic.go
@@ -52,6 +52,14 @@
 	}
 }
 
+// Timeouts returns the number of timeouts since the last response that still count.
+func (t *Traffic) Timeouts(now model.Time) int {
+	if now.Sub(t.timedOutAt) > timeoutMemory {
+		return 0
+	}
+	return t.timeouts
+}
+
 // SeeTimeout records that a packet sent at sentAt got no response in time. If the server has
 // responded since then, the timeout is ignored and the result is false.
 func (t *Traffic) SeeTimeout(now, sentAt model.Time) bool {
--- a/internal/core/steering/flows.go
+++ b/internal/core/steering/flows.go
@@ -79,7 +79,7 @@
 	if f := s.flows[p.Key]; f != nil {
 		return f
 	}
-	if len(s.flows) >= maxRecords {
+	if s.full() {
 		return nil
 	}
 	f := &flow{target: t, stage: open, openedAt: now, dataEnd: p.Sequence, acknowledged: p.Acknowledged, priority: s.priorityOf(p.Key.Route)}
@@ -195,13 +195,22 @@
 	s.expireAnswerSizes()
 	s.expireUsualTimes()
 	for key, f := range s.flows {
-		idle := now.Sub(f.lastPacketAt)
 		switch {
-		case f.stage == closed && idle > closedRetention, f.stage == opening && idle > closedRetention,
-			idle > s.snapshot.IdleTimeout, now.Sub(f.openedAt) > s.snapshot.Lifetime:
+		case s.snapshot.expired(f, now):
 			s.removeRecord(key, f)
-		case f.busy && idle > busyTimeout:
+		case f.waitsInVain(now):
 			s.setBusy(f, false)
 		}
 	}
 }
+
+// expired reports whether the record of a flow is no longer needed.
+func (s *Snapshot) expired(f *flow, now model.Time) bool {
+	idle := now.Sub(f.lastPacketAt)
+	return f.stage != open && idle > closedRetention || idle > s.IdleTimeout || now.Sub(f.openedAt) > s.Lifetime
+}
+
+// waitsInVain reports whether a response to the flow's request is no longer expected.
+func (f *flow) waitsInVain(now model.Time) bool {
+	return f.busy && now.Sub(f.lastPacketAt) > busyTimeout
+}
--- /dev/null
+++ b/internal/core/steering/preview.go
@@ -0,0 +1,240 @@
+package steering
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+
+	"github.com/savorytiller/savorytiller/internal/core/model"
+	"github.com/savorytiller/savorytiller/internal/core/room"
+)
+
+// maxPreviewCandidates is the number of candidates that a Preview lists.
+const maxPreviewCandidates = 10
+
+// Preview is the decision that a SYN would get, and what it is based on.
+type Preview struct {
+	Decision Decision
+	// Snapshot is the one that was used, At the time of the decision.
+	Snapshot *Snapshot
+	At       model.Time
+	// Route is the route of the SYN and Service the one that its weights select; nil if there is
+	// none.
+	Route   *Route
+	Service *Service
+	// Candidates are the best of the servers that were considered, in the order of preference.
+	// Considered is the number of all; a server of a large service, of which a sample is
+	// considered, may count more than once.
+	Candidates []Candidate
+	Considered int
+}
+
+// Candidate is a server that was considered for a new flow.
+type Candidate struct {
+	Server *Server
+	// Class is how the server is preferred, and Score orders the servers of a class; the least is
+	// the best.
+	Class string
+	Score float64
+	// Flows and Busy count the open flows through this instance and, of these, the ones with a
+	// request in progress.
+	Flows, Busy int
+	// RespondedAt is when this instance last saw a response, and Timeouts the number of timeouts
+	// since.
+	RespondedAt model.Time
+	Timeouts    int
+	class       int
+}
+
+// preview is the part of a Steerer that exists only in a copy made for a preview. The decision
+// changes the copy, so what it may change is copied before.
+type preview struct {
+	// origin is the Steerer that was copied, and targets its targets that were.
+	origin  *Steerer
+	targets map[*target]*target
+	// records is the number of flow records of origin that were not copied.
+	records int
+	// best are the best candidates so far, and considered is the number of all.
+	best       []Candidate
+	considered int
+}
+
+// Preview returns the decision that Decide would return about a SYN, and what it is based on. It
+// does not change the Steerer: all later decisions are the same as without it.
+func (s *Steerer) Preview(snapshot *Snapshot, now model.Time, p *Packet) *Preview {
+	out := &Preview{Snapshot: snapshot, At: now}
+	if snapshot == nil || snapshot.Version == 0 {
+		out.Decision = s.Decide(snapshot, now, p) // changes nothing without a configuration
+		return out
+	}
+	if out.Route = snapshot.Routes[p.Key.Route]; out.Route != nil {
+		out.Service = snapshot.Services[selectService(out.Route, p.Key)]
+	}
+	s.source.startPreview()
+	defer s.source.endPreview()
+	c := s.copyFor(snapshot, now, p)
+	out.Decision = c.Decide(snapshot, now, p)
+	out.Candidates, out.Considered = c.preview.best, c.preview.considered
+	return out
+}
+
+// copyFor returns a copy for a decision about a SYN. Of the flow records it has those that the
+// decision may read or that are due to change before it; targets are copied when they are used.
+func (s *Steerer) copyFor(snapshot *Snapshot, now model.Time, p *Packet) *Steerer {
+	c := *s
+	c.preview = &preview{origin: s, targets: map[*target]*target{}}
+	c.targets, c.flows = map[Token]*target{}, map[FlowKey]*flow{}
+	c.loads = make(map[string]*serviceLoad, len(s.loads))
+	for name, load := range s.loads {
+		copied := *load
+		c.loads[name] = &copied
+	}
+	c.pendingSYNs, c.suspects = slices.Clip(s.pendingSYNs), nil
+	c.lost, c.answerSizes = newLostFlows(), map[Endpoint]*answerSize{}
+	c.load = s.load.copy()
+	newSnapshot := s.snapshot != snapshot
+	if newSnapshot {
+		for token, t := range s.targets {
+			c.targets[token] = c.copyTarget(t)
+		}
+	}
+	c.copyFlow(p.Key)
+	for _, pending := range s.pendingSYNs {
+		if now.Sub(pending.sentAt) < ResponseTimeout {
+			break
+		}
+		c.copyFlow(pending.key)
+	}
+	if sweeps := !now.Before(s.nextSweepAt); sweeps || newSnapshot {
+		for key, f := range s.flows {
+			if sweeps && (snapshot.expired(f, now) || f.waitsInVain(now)) || newSnapshot && snapshot.mayLose(f, now) {
+				c.copyFlow(key)
+			}
+		}
+	}
+	c.preview.records = len(s.flows) - len(c.flows)
+	return &c
+}
+
+// mayLose reports whether the snapshot may show that the server of a flow cannot continue it.
+func (s *Snapshot) mayLose(f *flow, now model.Time) bool {
+	server := s.Servers.Find(f.target.server.Token)
+	return server != nil && (server.ProbeFailed() || server.HasEnded(now, &s.Availability))
+}
+
+// copyFlow copies the record of a flow, if there is one, with its target.
+func (s *Steerer) copyFlow(key FlowKey) {
+	if f := s.preview.origin.flows[key]; f != nil && s.flows[key] == nil {
+		copied := *f
+		copied.target = s.copyTarget(f.target)
+		s.flows[key] = &copied
+	}
+}
+
+// copyTarget returns the copy of a target of the original Steerer.
+func (s *Steerer) copyTarget(t *target) *target {
+	if c := s.preview.targets[t]; c != nil {
+		return c
+	}
+	c := *t
+	c.load.classes = slices.Clone(t.load.classes)
+	for i, class := range c.load.classes {
+		c.load.classes[i] = s.load.class(class.class)
+	}
+	s.preview.targets[t] = &c
+	return &c
+}
+
+// copyOf returns the copy of the target with a token, or nil if the original Steerer has none.
+func (s *Steerer) copyOf(token Token) *target {
+	if s.preview == nil {
+		return nil
+	}
+	t := s.preview.origin.targets[token]
+	if t == nil {
+		return nil
+	}
+	return s.copyTarget(t)
+}
+
+// copy returns a copy of the tally, without the targets.
+func (l *loadTally) copy() loadTally {
+	c := *l
+	c.active = nil
+	c.classes = make(map[room.Class]*classLoad, len(l.classes))
+	for class, load := range l.classes {
+		copied := *load
+		c.classes[class] = &copied
+	}
+	c.usualTimes = map[routeOfService]*usualTime{}
+	return c
+}
+
+// full reports whether no record of another flow can be added.
+func (s *Steerer) full() bool {
+	n := len(s.flows)
+	if s.preview != nil {
+		n += s.preview.records
+	}
+	return n >= maxRecords
+}
+
+// noteCandidate records a server that is considered for the new flow if this is a preview. Of
+// several records of a server the best counts, because the selection compares all.
+func (s *Steerer) noteCandidate(t *target, class int, score float64, now model.Time) {
+	if s.preview == nil {
+		return
+	}
+	s.preview.consider(Candidate{Server: t.server, Class: classNames[class], Score: score, Flows: t.flows, Busy: t.busy,
+		RespondedAt: t.RespondedAt, Timeouts: t.Timeouts(now), class: class})
+}
+
+func (p *preview) consider(c Candidate) {
+	p.considered++
+	if i := slices.IndexFunc(p.best, func(old Candidate) bool { return old.Server == c.Server }); i >= 0 {
+		if c.compare(&p.best[i]) >= 0 {
+			return
+		}
+		p.best = slices.Delete(p.best, i, i+1)
+	}
+	at, _ := slices.BinarySearchFunc(p.best, c, func(a, b Candidate) int { return a.compare(&b) })
+	if at < maxPreviewCandidates {
+		p.best = slices.Insert(p.best, at, c)
+		p.best = p.best[:min(len(p.best), maxPreviewCandidates)]
+	}
+}
+
+// compare orders candidates by preference.
+func (c *Candidate) compare(o *Candidate) int {
+	return cmp.Or(cmp.Compare(c.class, o.class), cmp.Compare(c.Score, o.Score))
+}
+
+// randomSource is a source of random numbers. A preview sees the numbers that the next decisions
+// will get.
+type randomSource struct {
+	from *rand.Rand
+	// ahead are the numbers that were drawn for previews only. next is the position of the
+	// preview in them, or -1 if there is none.
+	ahead []uint64
+	next  int
+}
+
+// Uint64 implements rand.Source.
+func (r *randomSource) Uint64() uint64 {
+	if r.next < 0 {
+		if len(r.ahead) == 0 {
+			return r.from.Uint64()
+		}
+		number := r.ahead[0]
+		r.ahead = r.ahead[1:]
+		return number
+	}
+	if r.next == len(r.ahead) {
+		r.ahead = append(r.ahead, r.from.Uint64())
+	}
+	r.next++
+	return r.ahead[r.next-1]
+}
+
+func (r *randomSource) startPreview() { r.next = 0 }
+func (r *randomSource) endPreview()   { r.next = -1 }
--- /dev/null
+++ b/internal/core/steering/preview_test.go
@@ -0,0 +1,123 @@
+package steering
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/savorytiller/savorytiller/internal/core/belief"
+	"github.com/savorytiller/savorytiller/internal/core/model"
+)
+
+// effects returns what a Steerer asks others to do after a packet, in no particular order.
+func effects(s *Steerer, now model.Time) (all []any) {
+	for server, at := s.TakeSuspect(); server != nil; server, at = s.TakeSuspect() {
+		all = append(all, server.ID, at)
+	}
+	for p, ok := s.TakeReset(); ok; p, ok = s.TakeReset() {
+		all = append(all, p)
+	}
+	if r := s.TakeReport(now); r != nil {
+		all = append(all, *r)
+	}
+	return append(all, s.Flows())
+}
+
+// previewScript changes the world of two Steerers: snapshots with other servers, some of them cold,
+// draining or unreachable, and callers whose SYNs and requests are not all answered.
+type previewScript struct {
+	*rig
+	random *rand.Rand
+	tokens map[uint16]Token
+}
+
+func (p *previewScript) publishNext(step int) {
+	a, b := append(servers("a", "z", 4), servers("a", "y", 3)...), servers("b", "z", 300)
+	a[p.random.IntN(7)].State = model.ServerDraining
+	if failed := a[p.random.IntN(7)]; step%2 == 0 {
+		failed.ProbeResult, failed.ProbeSentAt = belief.Unreachable, p.now
+	}
+	for _, i := range []int{p.random.IntN(7), p.random.IntN(7)} {
+		a[i].ColdUntil, a[i].ColdHome = p.now.Add(3*time.Second), true
+	}
+	p.publish(a, b)
+	p.snapshot.InstancesInZone = 4
+	p.snapshot.Routes[routeB].Shares = []Share{{"a", 1}, {"b", 1}}
+}
+
+// next returns the next packet of a random caller.
+func (p *previewScript) next() Packet {
+	caller := uint16(p.random.IntN(120))
+	packet := Packet{Key: FlowKey{Endpoint{9, caller}, []Endpoint{routeA, routeB}[caller%2]}, Flags: SYN, Sequence: 100, Retransmissions: uint32(p.random.IntN(2))}
+	if token := p.tokens[caller]; token != 0 && p.random.IntN(4) > 0 {
+		packet.Flags, packet.Token, packet.Sequence, packet.Length = ACK, token, 101+uint32(p.random.IntN(500)), 50
+		packet.Acknowledged = uint32(p.now / second)
+		if p.random.IntN(8) == 0 {
+			packet.Flags |= FIN
+		}
+	}
+	return packet
+}
+
+// Guards against a preview that differs from the decision that follows, and against one that
+// changes anything: the Steerer that gets previews decides as its twin without them.
+func TestPreviewIsTheDecisionAndChangesNothing(t *testing.T) {
+	script := &previewScript{rig: newRig(t), random: rand.New(rand.NewPCG(3, 4)), tokens: map[uint16]Token{}}
+	twin := NewSteerer(rand.New(rand.NewPCG(1, 2)), 5)
+	script.steerer.SetReportInterval(250 * time.Millisecond)
+	twin.SetReportInterval(250 * time.Millisecond)
+	reasons := map[string]int{}
+	for step := range 30000 {
+		if step%300 == 0 {
+			script.publishNext(step / 300)
+		}
+		script.now += model.Time(script.random.IntN(12)) * millisecond
+		if script.random.IntN(2000) == 0 {
+			script.now += 700 * millisecond // a pause
+		}
+		packet := script.next()
+		var previewed *Preview
+		if script.random.IntN(3) == 0 {
+			other := packet
+			other.Key.Caller.Port, other.Flags, other.Sequence = uint16(script.random.IntN(130)), SYN, uint32(script.random.IntN(2)*100)
+			script.steerer.Preview(script.snapshot, script.now, &other)
+		}
+		if packet.IsSYN() {
+			previewed = script.steerer.Preview(script.snapshot, script.now, &packet)
+		}
+		decision := script.send(packet)
+		require.Equal(t, twin.Decide(script.snapshot, script.now, &packet), decision, "step %d", step)
+		require.ElementsMatch(t, effects(twin, script.now), effects(script.steerer, script.now), "step %d", step)
+		if previewed != nil {
+			require.Equal(t, decision, previewed.Decision, "step %d", step)
+			reasons[decision.Reason.String()]++
+			if decision.NewFlow && decision.Reason == model.ReasonLeastLoad {
+				require.Equal(t, decision.Server, previewed.Candidates[0].Server, "step %d", step)
+			}
+		}
+		if decision.Action == Deliver {
+			script.tokens[packet.Key.Caller.Port] = decision.Server.Token
+		}
+	}
+	require.Greater(t, reasons["least_load"], 1000)
+	require.Greater(t, reasons["alternative"], 100)
+}
+
+// Guards against a preview whose time grows with the flow records or the servers beyond the sample.
+func BenchmarkPreview(b *testing.B) {
+	for name, n := range map[string]int{"150 servers": 150, "30000 servers": 30000} {
+		b.Run(name, func(b *testing.B) {
+			r := newRig(b)
+			r.publish(servers("a", "z", n))
+			for i := range 10000 {
+				r.now += millisecond / 10
+				r.send(Packet{Key: FlowKey{Endpoint{9 + uint32(i), 1}, routeA}, Flags: SYN, Sequence: 100})
+			}
+			for b.Loop() {
+				r.steerer.Preview(r.snapshot, r.now, &Packet{Key: FlowKey{Endpoint{8, 1}, routeA}, Flags: SYN})
+			}
+		})
+	}
+}
--- a/internal/core/steering/select.go
+++ b/internal/core/steering/select.go
@@ -54,6 +54,9 @@
 	classExcluded         // must not get a flow
 )
 
+// classNames are the names of the classes for operators.
+var classNames = [...]string{classReady: "ready", classBusy: "busy", classCold: "cold", classUnhealthy: "unhealthy", classExcluded: "excluded"}
+
 // crossZoneLoad is added to the score of servers in other zones, which matters once the
 // own zone has no free slot. It stands for the round trip between zones, relative to
 // the duration of a typical request.
@@ -145,6 +148,7 @@
 		score += crossZoneLoad
 	}
 	score += jitter * s.random.Float64()
+	s.noteCandidate(t, class, score, now)
 	if class < c.class || class == c.class && score < c.score {
 		c.best, c.class, c.score = t, class, score
 	}
--- a/internal/core/steering/steerer.go
+++ b/internal/core/steering/steerer.go
@@ -49,9 +49,11 @@
 type Steerer struct {
 	// coldMargin is the number of new flows per second that a cold server can take in
 	// addition to its service's ColdPerSecond.
-	coldMargin  float64
-	snapshot    *Snapshot
+	coldMargin float64
+	snapshot   *Snapshot
+	// random draws from source.
 	random      *rand.Rand
+	source      *randomSource
 	flows       map[FlowKey]*flow
 	targets     map[Token]*target
 	loads       map[string]*serviceLoad
@@ -65,12 +67,15 @@
 	// answerSizes holds the usual size of the answers of each route.
 	answerSizes map[Endpoint]*answerSize
 	load        loadTally
+	// preview is nil except in the copy that a preview makes.
+	preview *preview
 }
 
 // NewSteerer returns a Steerer without flows. coldMargin is the number of new flows per
 // second that a cold server can take in addition to its service's ColdPerSecond.
 func NewSteerer(random *rand.Rand, coldMargin float64) *Steerer {
-	return &Steerer{coldMargin: coldMargin, random: random, flows: map[FlowKey]*flow{}, targets: map[Token]*target{},
+	source := &randomSource{from: random, next: -1}
+	return &Steerer{coldMargin: coldMargin, random: rand.New(source), source: source, flows: map[FlowKey]*flow{}, targets: map[Token]*target{},
 		loads: map[string]*serviceLoad{}, lost: newLostFlows(), answerSizes: map[Endpoint]*answerSize{}, load: newLoadTally()}
 }
 
@@ -165,7 +170,9 @@
 func (s *Steerer) targetOf(server *Server) *target {
 	t := s.targets[server.Token]
 	if t == nil {
-		t = &target{server: server}
+		if t = s.copyOf(server.Token); t == nil {
+			t = &target{server: server}
+		}
 		s.targets[server.Token] = t
 	}
 	return t
@@ -211,7 +218,7 @@
 // retransmitted, or nil.
 func (s *Steerer) addFlow(p *Packet, f *flow, t *target, now model.Time) {
 	if f == nil {
-		if len(s.flows) >= maxRecords {
+		if s.full() {
 			return
 		}
 		f = &flow{target: t, openedAt: now, synSequence: p.Sequence, priority: s.priorityOf(p.Key.Route)}
--- a/internal/port/errors.go
+++ b/internal/port/errors.go
@@ -20,6 +20,8 @@
 	ErrMalformed = merry.Sentinel("malformed")
 	// ErrCompacted means that the registry has compacted the requested history away.
 	ErrCompacted = merry.Sentinel("history is compacted")
+	// ErrWoken means that a call that waits was told to return without a result.
+	ErrWoken = merry.Sentinel("woken")
 	// ErrBusy means that the remote end rejected the call because of a rate limit.
 	ErrBusy = merry.Sentinel("rate limit exceeded")
 )
--- a/internal/port/steering.go
+++ b/internal/port/steering.go
@@ -28,10 +28,14 @@
 }
 
 // PacketSocket sends and receives datagrams. Receive blocks. One goroutine at a
-// time may use the socket, but any goroutine may call Close.
+// time may use the socket, but any goroutine may call Wake and Close.
 type PacketSocket interface {
-	// Receive fills the buffer with one datagram and returns its length.
+	// Receive fills the buffer with one datagram and returns its length. It returns ErrWoken
+	// once after one or more calls of Wake.
 	Receive(buffer []byte) (int, error)
+	// Wake makes the Receive in progress, or else the next one, return ErrWoken. No datagram
+	// is lost.
+	Wake() error
 	// SendPacket sends one datagram.
 	SendPacket(to netip.AddrPort, packet []byte) error
 	Close() error
--- a/internal/traffic/packets/worker.go
+++ b/internal/traffic/packets/worker.go
@@ -54,11 +54,14 @@
 	// arrive.
 	lastPacket atomic.Int64
 	// flows is the number of flow records.
-	flows atomic.Int64
+	flows     atomic.Int64
+	questions chan question
 }
 
 // New returns a Worker that is not running yet.
-func New(o Options) *Worker { return &Worker{options: o} }
+func New(o Options) *Worker {
+	return &Worker{options: o, questions: make(chan question, maxQuestions)}
+}
 
 // LastPacket returns when the last well-formed packet arrived, or 0 before the first one.
 // It can be called from any goroutine.
@@ -78,6 +81,8 @@
 		switch {
 		case err == nil:
 			w.handle(w.buffer[:headroom+n])
+		case errors.Is(err, port.ErrWoken):
+			w.answerQuestions()
 		case ctx.Err() != nil || errors.Is(err, net.ErrClosed):
 			return ctx.Err()
 		default:
