admission: which new flows are admitted while capacity is short

Cause: the system never refuses requests; the servers do, after 200 ms or more in which each waited.

--- a/internal/core/model/reason.go
+++ b/internal/core/model/reason.go
@@ -32,6 +32,9 @@
 	ReasonUnknownToken // no server has the token
 	ReasonRouteRemoved
 	ReasonSendFailed
+	ReasonAdmitted // new flow of a service that is short of capacity, within the limit
+	ReasonReserve  // new flow beyond the limit, from the part of the least urgent flows
+	ReasonHeld     // new flow beyond the limit, which the caller's retransmission may still open
 
 	// Packets and requests.
 	ReasonStaleView // the view is missing or has expired
@@ -107,6 +110,9 @@
 	ReasonUnknownToken:          "unknown_token",
 	ReasonRouteRemoved:          "route_removed",
 	ReasonSendFailed:            "send_failed",
+	ReasonAdmitted:              "admitted",
+	ReasonReserve:               "reserve",
+	ReasonHeld:                  "held",
 	ReasonStaleView:             "stale_view",
 	ReasonNoConfiguration:       "no_configuration",
 	ReasonUnknownService:        "unknown_service",
