--- a/internal/app/steer/instance.go
+++ b/internal/app/steer/instance.go
@@ -100,7 +100,7 @@
 	i.control, err = registry.New(registry.Options{Self: self, Seeds: s.Seeds, Peers: i.peers, Clock: i.clock, Registry: p.Registry(s), Prober: p.Prober,
 		Catalog: catalog.Settings{Lifetime: s.Bounds.FlowLifetime, UnlistedGrace: min(maxUnlistedGrace, s.Bounds.Drain*2/3),
 			DefaultIdleTimeout: defaultIdleTimeout},
-		Bounds: registryBounds(s), Log: logs.Part("registry"), Seed: seed})
+		Bounds: registryBounds(s), LoadInterval: s.LoadInterval, Log: logs.Part("registry"), Seed: seed})
 	if err != nil {
 		return nil, err
 	}
@@ -112,9 +112,10 @@
 		_ = socket.Close() // the listener's error is returned
 		return nil, merry.Prepend(err, "listen.readiness")
 	}
-	i.worker = packets.New(packets.Options{Socket: socket, Codec: p.Codec(s), Snapshots: i.control, Faults: i.control, Clock: i.clock,
-		Recorder: i.recorder, Log: logs.Part("flow"),
-		Steerer: steering.NewSteerer(rand.New(rand.NewPCG(seed, 1)), s.Bounds.ColdMargin)})
+	steerer := steering.NewSteerer(rand.New(rand.NewPCG(seed, 1)), s.Bounds.ColdMargin)
+	steerer.SetReportInterval(s.LoadInterval)
+	i.worker = packets.New(packets.Options{Socket: socket, Codec: p.Codec(s), Snapshots: i.control, Faults: i.control, Loads: i.control,
+		Clock: i.clock, Recorder: i.recorder, Log: logs.Part("flow"), Steerer: steerer})
 	i.readinessServer = readiness.NewServer(i.Ready)
 	return i, i.openStatus()
 }
@@ -141,7 +142,7 @@
 }
 
 // gauges returns the number of log lines that were left out, the counters of the control
-// goroutine and the traffic with other instances.
+// goroutine, the load of the fleet and the traffic with other instances.
 func (i *Instance) gauges() map[string]float64 {
 	out := map[string]float64{"log_lines_left_out": float64(i.linesLeftOut())}
 	if c := i.control.Counts(); c != nil {
@@ -152,6 +153,9 @@
 		}
 		out["control_lag_ms"] = float64(c.LagMs)
 	}
+	if s := i.control.Snapshot(); s != nil {
+		addLoadGauges(out, s.Room)
+	}
 	for _, t := range i.peers.Traffic() {
 		scope := "other_zones"
 		if t.OwnZone {
@@ -194,7 +198,8 @@
 		"seeds", len(s.Seeds), "link_mbps", s.LinkMbps, "config_apply_ms", s.Bounds.ConfigApply.Milliseconds(),
 		"drain_ms", s.Bounds.Drain.Milliseconds(), "evacuation_ms", s.Bounds.Evacuation.Milliseconds(),
 		"follow_ms", registryBounds(s).FollowTime().Milliseconds(), "stop_grace_ms", s.Bounds.StopGrace.Milliseconds(),
-		"flow_lifetime_ms", s.Bounds.FlowLifetime.Milliseconds(), "cold_margin", s.Bounds.ColdMargin)
+		"flow_lifetime_ms", s.Bounds.FlowLifetime.Milliseconds(), "cold_margin", s.Bounds.ColdMargin,
+		"load_interval_ms", s.LoadInterval.Milliseconds())
 	var err error
 	select {
 	case err = <-failed:
