--- a/internal/core/steering/preview.go
+++ b/internal/core/steering/preview.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"slices"
 
+	"github.com/savorytiller/savorytiller/internal/core/admission"
 	"github.com/savorytiller/savorytiller/internal/core/model"
 	"github.com/savorytiller/savorytiller/internal/core/room"
 )
@@ -27,6 +28,9 @@
 	// considered, may count more than once.
 	Candidates []Candidate
 	Considered int
+	// Verdict is that of admission control; nil if it was not asked, for example because the terms
+	// of the service's routes don't call for it.
+	Verdict *admission.Verdict
 }
 
 // Candidate is a server that was considered for a new flow.
@@ -57,6 +61,7 @@
 	// best are the best candidates so far, and considered is the number of all.
 	best       []Candidate
 	considered int
+	verdict    *admission.Verdict
 }
 
 // Preview returns the decision that Decide would return about a SYN, and what it is based on. It
@@ -75,6 +80,7 @@
 	c := s.copyFor(snapshot, now, p)
 	out.Decision = c.Decide(snapshot, now, p)
 	out.Candidates, out.Considered = c.preview.best, c.preview.considered
+	out.Verdict = c.preview.verdict
 	return out
 }
 
@@ -92,6 +98,7 @@
 	c.pendingSYNs, c.suspects = slices.Clip(s.pendingSYNs), nil
 	c.lost, c.answerSizes = newLostFlows(), map[Endpoint]*answerSize{}
 	c.load = s.load.copy()
+	c.admitter = s.admitter.copy(p.Key)
 	newSnapshot := s.snapshot != snapshot
 	if newSnapshot {
 		for token, t := range s.targets {
@@ -170,6 +177,17 @@
 	return c
 }
 
+// copy returns a copy of the admitter for a decision about one flow, without the reports.
+func (a *admitter) copy(key FlowKey) admitter {
+	c := *a
+	c.controller, c.shortages, c.reports = a.controller.Copy(), map[string]*shortage{}, nil
+	c.held, c.heldOrder = map[FlowKey]heldSYN{}, slices.Clip(a.heldOrder)
+	if held, ok := a.held[key]; ok {
+		c.held[key] = held
+	}
+	return c
+}
+
 // full reports whether no record of another flow can be added.
 func (s *Steerer) full() bool {
 	n := len(s.flows)
@@ -179,6 +197,14 @@
 	return n >= maxRecords
 }
 
+// noteVerdict records the verdict of admission control if this is a preview.
+func (s *Steerer) noteVerdict(v *admission.Verdict) {
+	if s.preview != nil {
+		verdict := *v
+		s.preview.verdict = &verdict
+	}
+}
+
 // noteCandidate records a server that is considered for the new flow if this is a preview. Of
 // several records of a server the best counts, because the selection compares all.
 func (s *Steerer) noteCandidate(t *target, class int, score float64, now model.Time) {
--- a/internal/core/steering/preview_test.go
+++ b/internal/core/steering/preview_test.go
@@ -7,8 +7,10 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/savorytiller/savorytiller/internal/core/admission"
 	"github.com/savorytiller/savorytiller/internal/core/belief"
 	"github.com/savorytiller/savorytiller/internal/core/model"
+	"github.com/savorytiller/savorytiller/internal/core/room"
 )
 
 // effects returns what a Steerer asks others to do after a packet, in no particular order.
@@ -22,6 +24,9 @@
 	if r := s.TakeReport(now); r != nil {
 		all = append(all, *r)
 	}
+	for r, ok := s.TakeShortage(); ok; r, ok = s.TakeShortage() {
+		all = append(all, r)
+	}
 	return append(all, s.Flows())
 }
 
@@ -45,6 +50,12 @@
 	p.publish(a, b)
 	p.snapshot.InstancesInZone = 4
 	p.snapshot.Routes[routeB].Shares = []Share{{"a", 1}, {"b", 1}}
+	if step%4 < 3 {
+		p.snapshot.Routes[routeA].Terms = model.Terms{Priority: 1, Goal: 600 * time.Millisecond}
+		p.snapshot.Routes[routeB].Terms = model.Terms{Priority: 2, Goal: 900 * time.Millisecond}
+		p.snapshot.Room = viewOf(p.now, 10+float64(p.random.IntN(60)))
+		p.snapshot.Room.Services["a"].Zones["y"] = &room.Zone{Slots: 12, Instances: 4, Total: room.Counters{InProgress: float64(p.random.IntN(40)), Completed: 100}}
+	}
 }
 
 // next returns the next packet of a random caller.
@@ -66,8 +77,10 @@
 func TestPreviewIsTheDecisionAndChangesNothing(t *testing.T) {
 	script := &previewScript{rig: newRig(t), random: rand.New(rand.NewPCG(3, 4)), tokens: map[uint16]Token{}}
 	twin := NewSteerer(rand.New(rand.NewPCG(1, 2)), 5)
-	script.steerer.SetReportInterval(250 * time.Millisecond)
-	twin.SetReportInterval(250 * time.Millisecond)
+	for _, s := range []*Steerer{script.steerer, twin} {
+		s.SetReportInterval(250 * time.Millisecond)
+		s.SetAdmission(admission.Settings{Enabled: true, Reserve: 0.1})
+	}
 	reasons := map[string]int{}
 	for step := range 30000 {
 		if step%300 == 0 {
@@ -101,8 +114,9 @@
 			script.tokens[packet.Key.Caller.Port] = decision.Server.Token
 		}
 	}
-	require.Greater(t, reasons["least_load"], 1000)
-	require.Greater(t, reasons["alternative"], 100)
+	for reason, n := range map[string]int{"least_load": 1000, "alternative": 100, "held": 100, "overloaded": 50} {
+		require.Greater(t, reasons[reason], n, "%v", reasons)
+	}
 }
 
 // Guards against a preview whose time grows with the flow records or the servers beyond the sample.
