savoryctl where: where a new flow would go now, and why

Cause: an operator who asks why a server gets no flow, or why callers are refused, had only the log lines of flows that have happened.

Change: the endpoint /where of savorysteer and savoryctl where show the route with its terms, the service that the weights select, the verdict of admission control with its inputs, and the ten best candidates with class, score, load and evidence. The answer comes from Steerer.Preview, so it is the decision that the next SYN would get.

--- a/internal/adapter/operatorcli/cli.go
+++ b/internal/adapter/operatorcli/cli.go
@@ -19,7 +19,8 @@
 const (
 	ExitOK = 0
 	// ExitRefused means a negative result: a file is not valid, the instance is not
-	// ready, its load is not usable, or the log has no line about the flow.
+	// ready, its load is not usable, no server would get the flow, or the log has no line about
+	// the flow.
 	ExitRefused = 1
 	// ExitUsage means wrong arguments or an unreadable file.
 	ExitUsage = 2
@@ -39,6 +40,7 @@
 	Explain     explainCommand     `cmd:"" help:"Show recent decisions, or with --service and --source why a flow goes to its server."`
 	Beliefs     beliefsCommand     `cmd:"" help:"Show the view of a savorysteer instance: configuration, and servers with state, age of the last probe and load. Exit code 1 if it is not ready."`
 	Room        roomCommand        `cmd:"" help:"Show the load of the fleet as a savorysteer instance knows it: services by zone, servers with their speed, and the terms of the routes. Exit code 1 if the load is not usable."`
+	Where       whereCommand       `cmd:"" help:"Show where a new flow would go now at a savorysteer instance, and why. Exit code 1 if no server would get it, or the instance is not ready."`
 	Why         whyCommand         `cmd:"" help:"Explain from log lines of savorysteer what happened to a flow. Exit code 1 if no line is about the flow."`
 	CheckNote   checkNoteCommand   `cmd:"" help:"Check a release note without publishing it. Exit code 1 if it would be refused."`
 	CheckConfig checkConfigCommand `cmd:"" help:"Check a settings file of savorytillerd. Exit code 1 if it is not valid."`
--- a/internal/adapter/steerstatus/load.go
+++ b/internal/adapter/steerstatus/load.go
@@ -206,12 +206,16 @@
 	})
 	out := []Route{}
 	for _, r := range sorted[:min(len(sorted), maxEntries)] {
-		route := Route{Name: r.Name, Address: r.Endpoint.AddrPort().String(), Priority: r.Terms.Priority, GoalMs: r.Terms.Goal.Milliseconds(),
-			TimeoutMs: r.Terms.Timeout.Milliseconds(), Services: map[string]int{}}
-		for _, share := range r.Shares {
-			route.Services[share.Service] = share.Weight
-		}
-		out = append(out, route)
+		out = append(out, routeOf(r))
+	}
+	return out
+}
+
+func routeOf(r *steering.Route) Route {
+	out := Route{Name: r.Name, Address: r.Endpoint.AddrPort().String(), Priority: r.Terms.Priority, GoalMs: r.Terms.Goal.Milliseconds(),
+		TimeoutMs: r.Terms.Timeout.Milliseconds(), Services: map[string]int{}}
+	for _, share := range r.Shares {
+		out.Services[share.Service] = share.Weight
 	}
 	return out
 }
--- a/internal/adapter/steerstatus/status.go
+++ b/internal/adapter/steerstatus/status.go
@@ -1,10 +1,11 @@
 // Package steerstatus serves the metrics of an instance that forwards flows by tokens
-// as text, and its view of the configuration and of the backend servers as JSON.
+// as text, and its view of the configuration and of the backend servers, and where a new
+// flow would go, as JSON.
 package steerstatus
 
 import (
 	"cmp"
-	"encoding/json"
+	"context"
 	"fmt"
 	"net/http"
 	"slices"
@@ -20,6 +21,7 @@
 const (
 	MetricsPath = "/metrics"
 	StatusPath  = "/status"
+	WherePath   = "/where"
 )
 
 // Timeouts of the endpoints, so that a slow or broken client cannot occupy memory
@@ -108,6 +110,8 @@
 	// Gauges returns additional gauges by name. It must return a new map each time,
 	// because the endpoint adds its own gauges to it.
 	Gauges func() map[string]float64
+	// Preview returns the decision that a SYN would get now.
+	Preview func(context.Context, *steering.Packet) (*steering.Preview, error)
 }
 
 // Server returns the HTTP server of the endpoints.
@@ -118,10 +122,9 @@
 		query := r.URL.Query()
 		status := s.status(Filter{Service: query.Get("service"), Zone: query.Get("zone")})
 		status.Servers = limitServers(status.Servers)
-		w.Header().Set("Content-Type", "application/json")
-		// An error means that the client has closed the connection.
-		_ = json.NewEncoder(w).Encode(status)
+		respond(w, http.StatusOK, status)
 	})
+	mux.HandleFunc("GET "+WherePath, s.serveWhere)
 	return &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout, WriteTimeout: responseTimeout, IdleTimeout: responseTimeout}
 }
 
@@ -147,12 +150,8 @@
 		if !f.matches(server.Service, string(server.Zone)) {
 			continue
 		}
-		probed := int64(-1)
-		if server.ProbeSentAt != 0 {
-			probed = now.Sub(server.ProbeSentAt).Milliseconds()
-		}
 		out.Servers = append(out.Servers, Server{ID: string(server.ID), Service: server.Service, Zone: string(server.Zone),
-			Address: server.Address.String(), State: serverState(server, v, now), ProbedMsAgo: probed, Token: uint32(server.Token),
+			Address: server.Address.String(), State: serverState(server, v, now), ProbedMsAgo: millisecondsAgo(server.ProbeSentAt, now), Token: uint32(server.Token),
 			Slots: server.Slots, Load: serverLoad(server, v, now)})
 	}
 	out.ServersTotal = len(out.Servers)
