--- a/internal/adapter/operatorcli/room_test.go
+++ b/internal/adapter/operatorcli/room_test.go
@@ -3,7 +3,9 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
 	"math"
+	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
@@ -29,7 +31,7 @@
 	return "--address=" + server.Listener.Addr().String()
 }
 
-// loadedSnapshot returns a snapshot with servers i-0000, i-0001 and so on. The last one takes twice
+// loadedSnapshot returns a snapshot with servers i-0000, i-0001 and so on. The last one takes 2.14 times
 // the usual time and fails a quarter of the requests.
 func loadedSnapshot(servers int) *steering.Snapshot {
 	var all []*steering.Server
@@ -42,9 +44,9 @@
 			Total:      room.Counters{InProgress: 80.25, Completed: 400, Failed: 7, Refused: 30, Latency: 40 * time.Second},
 			ByPriority: map[uint8]room.Counters{1: {InProgress: 20}, 2: {InProgress: 60.25, Refused: 30}}}}}}}
 	for i, s := range all {
-		load := room.ServerLoad{Token: uint32(s.Token), InProgress: 1, Samples: 8, UpdatedAt: 1e9}
+		load := room.ServerLoad{Token: uint32(s.Token), InProgress: 1, Samples: 12, UpdatedAt: 1e9}
 		if i == servers-1 {
-			load.Failed, load.LogLatency = 2, 6*math.Ln2
+			load.Failed, load.LogLatency = 3, 9*math.Ln2*1.1
 		}
 		view.Servers[uint32(s.Token)] = load
 	}
@@ -91,13 +93,19 @@
 	_, out, _ := runCommand(t, "room", address, "--limit", "2")
 	text := strings.Join(strings.Fields(out), " ")
 	for _, want := range []string{"s z 60 80.2 1: 20.0, 2: 60.2 400.0 7.0 30.0 100.0 50.0",
-		"LOAD AGE i-0003 t z active 2 1.0 2.00 25% 8.0 2s i-0000 s z active 2 1.0 1.00 0% 8.0 2s 2 of 4 servers are shown",
+		"LOAD AGE i-0003 t z active 2 1.0 2.14 25% 12.0 2s i-0000 s z active 2 1.0 1.00 0% 12.0 2s 2 of 4 servers are shown",
 		"feeds 198.18.0.1:80 2 500ms none s"} {
 		require.Contains(t, text, want)
 	}
 	_, out, _ = runCommand(t, "beliefs", address, "--service", "t")
-	require.Contains(t, strings.Join(strings.Fields(out), " "), "i-0003 t z invalid AddrPort active never probed 2 1.0 2.00 25% 8.0 2s")
+	require.Contains(t, strings.Join(strings.Fields(out), " "), "i-0003 t z invalid AddrPort active never probed 2 1.0 2.14 25% 12.0 2s")
 	require.NotContains(t, out, "i-0000")
+	response, err := http.Get("http://" + strings.TrimPrefix(address, "--address=") + steerstatus.MetricsPath)
+	require.NoError(t, err)
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	require.NoError(t, err)
+	require.Contains(t, string(body), "servers_failing 0\nservers_slow 1\n")
 }
 
 // Guards against a status whose size grows with the deployment, and against one that leaves out
@@ -119,9 +127,15 @@
 	log := writeTempFile(t, `
   1.0 n1 {"level":"info","ts":"2026-06-19T00:40:01.000Z","msg":"flow: flow reset","caller":"100.64.0.1:1","route":"198.18.0.1:80","reason":"overloaded","copy":0}
   1.1 n1 {"level":"info","ts":"2026-06-19T00:40:01.100Z","msg":"flow: packet dropped","caller":"100.64.0.2:1","route":"198.18.0.1:80","reason":"held","copy":0}
+  1.2 n1 {"level":"info","ts":"2026-06-19T00:40:01.200Z","msg":"flow: capacity shortage begins","service":"s","in_progress":90,"slots":60,"held":0,"overloaded":3}
 `)
 	for flow, want := range map[string]string{"100.64.0.1:1": causeOverloaded, "100.64.0.2:1": causeHeld} {
 		_, out, _ := runCommand(t, "why", flow, log)
 		require.True(t, strings.HasPrefix(out, "flow "+flow+": "+want+"\n"), "%s", out)
 	}
+	code, out, _ := runCommand(t, "why", "100.64.0.9:1", log, "--at", "2026-06-19T00:40:03Z")
+	require.Equal(t, ExitRefused, code)
+	require.Contains(t, out, causeMaybeRefused+"\n  00:40:01.200 n1 flow: capacity shortage begins service=s held=0 overloaded=3\n")
+	_, out, _ = runCommand(t, "why", "100.64.0.9:1", log, "--at", "2026-06-19T00:41:03Z")
+	require.Contains(t, out, causeUnknown+"\n")
 }
--- a/internal/adapter/operatorcli/why.go
+++ b/internal/adapter/operatorcli/why.go
@@ -39,7 +39,7 @@
 	if printErr := r.print(result, result.writeText); printErr != nil {
 		return printErr
 	}
-	if result.Cause == causeUnknown {
+	if result.Cause == causeUnknown || result.Cause == causeMaybeRefused {
 		return errRefused
 	}
 	return nil
@@ -61,6 +61,10 @@
 	Version  uint64    `json:"version,omitempty"`
 	Revision uint64    `json:"revision,omitempty"`
 	Epoch    uint64    `json:"epoch,omitempty"`
+	// Service, Held and Overloaded are those of a line about a shortage of capacity.
+	Service    string `json:"service,omitempty"`
+	Held       int    `json:"held,omitempty"`
+	Overloaded int    `json:"overloaded,omitempty"`
 	// Source is the last word before the JSON object of a line. In collected logs
 	// that is the instance's name.
 	Source string `json:"source,omitempty"`
@@ -105,6 +109,9 @@
 				fmt.Fprintf(w, " %s=%s", f.name, f.value)
 			}
 		}
+		if l.isRefusal() {
+			fmt.Fprintf(w, " service=%s held=%d overloaded=%d", l.Service, l.Held, l.Overloaded)
+		}
 		if l.Epoch != 0 {
 			fmt.Fprintf(w, " epoch=%d revision=%d", l.Epoch, l.Revision)
 		}
--- a/internal/adapter/operatorcli/whycause.go
+++ b/internal/adapter/operatorcli/whycause.go
@@ -9,6 +9,7 @@
 // Causes of what happened to a flow, as printed to operators.
 const (
 	causeUnknown          = "unknown: the log has no line about this flow"
+	causeMaybeRefused     = "unknown: the log has no line about this flow; a service was short of capacity then, and flows that are held or refused for that have no line of their own"
 	causeServed           = "none: the flow was placed, and the log shows no failure of its server or instance"
 	causeServerFailed     = "the server could not be reached; the flow was reset so that the caller can retry"
 	causeServerRemoved    = "the server ended or was removed from the registry; its flows were reset"
@@ -98,6 +99,7 @@
 		}
 	}
 	if last == nil {
+		e.addRefusals(at, lines)
 		return e
 	}
 	if h.openedAt = e.Lines[0].At; at.IsZero() {
@@ -126,6 +128,27 @@
 	return e
 }
 
+// maxRefusalLines limits the lines about shortages that an explanation has. Each instance writes
+// one per second and service.
+const maxRefusalLines = 10
+
+// addRefusals adds lines about shortages of capacity around the time of the failure to the
+// explanation of a flow without any line.
+func (e *explanation) addRefusals(at time.Time, lines []logLine) {
+	for i := range lines {
+		l := &lines[i]
+		if l.isRefusal() && l.At.After(at.Add(-causeWindow)) && l.At.Before(at.Add(causeWindow)) && len(e.Lines) < maxRefusalLines {
+			e.Cause = causeMaybeRefused
+			e.Lines = append(e.Lines, *l)
+		}
+	}
+}
+
+// isRefusal reports whether the line states that new flows were held or refused.
+func (l *logLine) isRefusal() bool {
+	return strings.HasPrefix(l.Message, messageShortage) && l.Held+l.Overloaded > 0
+}
+
 // Weights of evidence. What the flow's own instance logged about itself outweighs
 // what other instances logged about the server, because those may be cut off.
 const (
@@ -134,11 +157,12 @@
 	instanceEvidence
 )
 
-// Log messages at the start and at the planned stop of an instance. The command
+// Log messages at the start and at the planned stop of an instance, and during a shortage. The command
 // also reads logs of older builds, so these texts must not change.
 const (
 	messageStarted       = "instance: started"
 	messageStopRequested = "instance: told to stop, serving until traffic has moved"
+	messageShortage      = "flow: capacity shortage " // followed by begins, continues or ends
 )
 
 // event is a change that shows only in a line together with earlier lines.
--- a/internal/adapter/steerstatus/load.go
+++ b/internal/adapter/steerstatus/load.go
@@ -16,6 +16,15 @@
 // maxEntries limits each list of the status. 1,000 servers with load take 225 kB.
 const maxEntries = 1000
 
+// Bounds of the gauges of failing and of slow servers. The first two are those of the restriction of
+// new flows in docs/hard-load.md. Servers of the slowest usual machine type run at 0.6 times the usual
+// speed, which is 1.7 times the usual response time.
+const (
+	minJudgedSamples = 10
+	failingShare     = 0.3
+	slowRatio        = 2
+)
+
 // Load is the load of the fleet as an instance knows it from the load reports.
 type Load struct {
 	// Usable is set if decisions use the load. Reason says why not.
--- a/internal/adapter/steerstatus/status.go
+++ b/internal/adapter/steerstatus/status.go
@@ -204,8 +204,16 @@
 	gauges["registry_unusable_keys"] = float64(len(status.UnusableEntries))
 	gauges["instances_in_zone"] = float64(status.InstancesInZone)
 	states := map[string]int{}
+	gauges["servers_failing"], gauges["servers_slow"] = 0, 0
 	for i := range status.Servers {
 		states[status.Servers[i].State]++
+		switch load := status.Servers[i].Load; {
+		case load == nil || load.Samples < minJudgedSamples:
+		case load.FailedShare > failingShare:
+			gauges["servers_failing"]++
+		case load.RelativeLatency > slowRatio:
+			gauges["servers_slow"]++
+		}
 	}
 	for state, n := range states {
 		gauges["servers_"+state] = float64(n)
