--- a/internal/adapter/operatorcli/where.go
+++ b/internal/adapter/operatorcli/where.go
@@ -96,7 +96,7 @@
 func whereResult(asked string, a *steerstatus.Where) string {
 	switch {
 	case a.Reason == model.ReasonNoConfiguration.String():
-		return "dropped: " + causeNoConfiguration
+		return "dropped: the instance has no configuration yet"
 	case a.Action == "none":
 		return fmt.Sprintf("unknown: the configuration in force has no route named %q", asked)
 	case a.Route == nil && a.Action == "reset":
--- a/internal/adapter/operatorcli/where_test.go
+++ b/internal/adapter/operatorcli/where_test.go
@@ -60,7 +60,7 @@
 		"address not known":      {code: ExitRefused, args: []string{"198.18.0.9:80"}, want: []string{"refused: the configuration in force has no route"}},
 		"not known, old view":    {change: func(v *steering.Snapshot) { v.FreshFor = 1 }, code: ExitRefused, args: []string{"198.18.0.9:80"}, want: []string{"which may be outdated"}},
 		"instance not ready":     {notReady: true, code: ExitRefused, args: []string{"feeds"}, want: []string{"NOT READY", "server i-"}},
-		"no configuration":       {change: func(v *steering.Snapshot) { v.Version = 0 }, code: ExitRefused, args: []string{"feeds"}, want: []string{"had no configuration yet"}},
+		"no configuration":       {change: func(v *steering.Snapshot) { v.Version = 0 }, code: ExitRefused, args: []string{"feeds"}, want: []string{"has no configuration yet"}},
 		"no servers":             {change: func(v *steering.Snapshot) { v.Services["s"].Servers = nil }, code: ExitRefused, args: []string{"feeds"}, want: []string{"reset: the service has no server that accepts flows"}},
 		"service does not exist": {change: func(v *steering.Snapshot) { clear(v.Services) }, code: ExitRefused, args: []string{"feeds"}, want: []string{"drop: the service has no server"}},
 		"held": {verdict: &admission.Verdict{Action: admission.Hold, Reason: model.ReasonHeld, Inputs: short}, code: ExitRefused, args: []string{"feeds"},
