steering: new flows are placed by expected completion

Cause: nothing measured the speed of a server, and the own count times the number of instances made servers look full that were not, so flows left their zone for no reason. Change: with a usable view, servers are drawn by the inverse square of (requests in progress + 1) x measured relative response time / slots. Flows leave a zone without a free slot with half the share of the time that they save, those of routes with long flows only if the zone is short of capacity too. Servers that fail their requests get trials. The usual time of a route moves from the load tally to measure.go, without the time on the network.

--- a/internal/core/steering/answers.go
+++ b/internal/core/steering/answers.go
@@ -35,26 +35,3 @@
 	a.mean += answerSizeWeight * (size - a.mean)
 	return false
 }
-
-// answerFailed records the size of an answer of a route and reports whether it is so short that
-// the server probably rejected or failed the request.
-func (s *Steerer) answerFailed(route Endpoint, bytes uint32) bool {
-	a := s.answerSizes[route]
-	if a == nil {
-		if s.snapshot.Routes[route] == nil || len(s.answerSizes) > 2*len(s.snapshot.Routes) {
-			return false // sizes of removed routes are dropped with the next sweep
-		}
-		a = &answerSize{}
-		s.answerSizes[route] = a
-	}
-	return a.see(bytes)
-}
-
-// expireAnswerSizes forgets the routes that the configuration no longer has.
-func (s *Steerer) expireAnswerSizes() {
-	for route := range s.answerSizes {
-		if s.snapshot.Routes[route] == nil {
-			delete(s.answerSizes, route)
-		}
-	}
-}
--- a/internal/core/steering/flows.go
+++ b/internal/core/steering/flows.go
@@ -135,6 +135,7 @@
 		f.stage = open
 		f.dataEnd, f.acknowledged = p.Sequence, p.Acknowledged
 		f.target.SeeResponse(now)
+		f.target.path.see(decision.HandshakeTime)
 		s.setBusy(f, false)
 	}
 	if sequenceAfter(p.Acknowledged, f.acknowledged) {
@@ -142,9 +143,7 @@
 		f.acknowledged, f.retransmitted = p.Acknowledged, false
 		f.target.SeeResponse(now)
 		if f.busy {
-			decision.ResponseTime = now.Sub(f.sentAt)
-			decision.AnswerFailed = s.answerFailed(p.Key.Route, bytes)
-			s.load.answered(f, p.Key.Route, decision)
+			s.seeAnswer(f, p.Key.Route, bytes, now, decision)
 		}
 		s.setBusy(f, false)
 	}
@@ -192,8 +191,7 @@
 	}
 	s.nextSweepAt = now.Add(sweepInterval)
 	s.expireUnknownTokens(now)
-	s.expireAnswerSizes()
-	s.expireUsualTimes()
+	s.fadeRoutes()
 	for key, f := range s.flows {
 		idle := now.Sub(f.lastPacketAt)
 		switch {
--- a/internal/core/steering/health.go
+++ b/internal/core/steering/health.go
@@ -5,6 +5,7 @@
 
 	"github.com/savorytiller/savorytiller/internal/core/belief"
 	"github.com/savorytiller/savorytiller/internal/core/model"
+	"github.com/savorytiller/savorytiller/internal/core/room"
 )
 
 // probeRequestInterval is the least time between two requests to probe a server that is
@@ -30,6 +31,14 @@
 	// resetFor is the loss for which the open flows were last queued for a reset.
 	resetFor loss
 	load     targetLoad
+	// measured holds the answers that this instance saw, and path the time on the network.
+	measured measured
+	path     *pathTime
+	// fleet is what the view with viewNumber says of the server.
+	viewNumber uint64
+	fleet      room.ServerLoad
+	// failingTrialAt is when the target may get its next trial flow while it fails answers.
+	failingTrialAt model.Time
 }
 
 // loss is what shows that a server cannot continue its flows: that its run has ended, or
--- a/internal/core/steering/load.go
+++ b/internal/core/steering/load.go
@@ -1,22 +1,12 @@
 package steering
 
 import (
-	"math"
 	"time"
 
 	"github.com/savorytiller/savorytiller/internal/core/model"
 	"github.com/savorytiller/savorytiller/internal/core/room"
 )
 
-// Parameters of the usual response time of a route.
-const (
-	// usualTimeWeight is the weight of a new response time in the moving mean.
-	usualTimeWeight = 0.02
-	// minUsualTimes is the number of answers before response times are compared with the mean.
-	// Until then it is the mean of all of them.
-	minUsualTimes = 20
-)
-
 // loadTally counts the load that a Steerer observes, until it is reported. The counters of each
 // server and class are kept with the target and the class, so that a packet of a known flow costs
 // no map access except for an answer.
@@ -29,12 +19,11 @@
 	sequence   uint64
 	classes    map[room.Class]*classLoad
 	// active are the targets that were used since the last report or have requests in progress.
-	active     []*target
-	usualTimes map[routeOfService]*usualTime
+	active []*target
 }
 
 func newLoadTally() loadTally {
-	return loadTally{classes: map[room.Class]*classLoad{}, usualTimes: map[routeOfService]*usualTime{}}
+	return loadTally{classes: map[room.Class]*classLoad{}}
 }
 
 // inProgress is a number of requests in progress and its integral over the time.
@@ -79,32 +68,6 @@
 	active  bool // set while the target is in loadTally.active
 }
 
-// routeOfService identifies requests that usually take a similar time.
-type routeOfService struct {
-	route   Endpoint
-	service string
-}
-
-// usualTime is the moving mean of the logarithms of response times. A request that takes seven
-// times as long as usual changes it little.
-type usualTime struct {
-	mean  float64
-	count int
-}
-
-// see records the logarithm of a response time and returns its difference from the mean of the
-// earlier ones. ok is false while there are too few of them.
-func (u *usualTime) see(log float64) (difference float64, ok bool) {
-	if u.count < minUsualTimes {
-		u.count++
-		u.mean += (log - u.mean) / float64(u.count)
-		return 0, false
-	}
-	difference = log - u.mean
-	u.mean += usualTimeWeight * difference
-	return difference, true
-}
-
 // SetReportInterval sets the least time between two reports of TakeReport; 0 for no reports.
 func (s *Steerer) SetReportInterval(interval time.Duration) { s.load.interval = interval }
 
@@ -162,8 +125,9 @@
 	l.class(room.Class{Service: service, Zone: zone, Priority: priority}).Refused++
 }
 
-// answered counts an answer to a request of a flow.
-func (l *loadTally) answered(f *flow, route Endpoint, decision *Decision) {
+// answered counts an answer to a request of a flow. logTime is the logarithm of its response time
+// relative to the usual one, if measured is set.
+func (l *loadTally) answered(f *flow, decision *Decision, logTime float64, measured bool) {
 	t := &f.target.load
 	l.markActive(f.target)
 	c := l.classOf(f.target, f.priority)
@@ -175,16 +139,9 @@
 	}
 	c.Completed++
 	c.Latency += decision.ResponseTime
-	key := routeOfService{route, f.target.server.Service}
-	u := l.usualTimes[key]
-	if u == nil {
-		u = &usualTime{}
-		l.usualTimes[key] = u
-	}
-	// The clock may not advance between two packets.
-	if difference, ok := u.see(math.Log(float64(max(decision.ResponseTime, time.Microsecond)))); ok {
+	if measured {
 		t.samples++
-		t.logLatency += difference
+		t.logLatency += logTime
 	}
 }
 
@@ -196,15 +153,6 @@
 	return model.LowestPriority
 }
 
-// expireUsualTimes forgets the routes that the configuration no longer has.
-func (s *Steerer) expireUsualTimes() {
-	for key := range s.load.usualTimes {
-		if s.snapshot.Routes[key.route] == nil {
-			delete(s.load.usualTimes, key)
-		}
-	}
-}
-
 // TakeReport returns the load since the last report, or nil until the report interval has
 // passed.
 func (s *Steerer) TakeReport(now model.Time) *room.Report {
--- a/internal/core/steering/select.go
+++ b/internal/core/steering/select.go
@@ -48,7 +48,8 @@
 // Classes of candidate servers in the order of preference.
 const (
 	classReady     = iota // preferred zone, with free slots
-	classBusy             // another zone, or no free slot
+	classBusy             // no free slot; also another zone where the load of the fleet is not known
+	classFar              // another zone
 	classCold             // in its cold start, below the limit of coldAllowed
 	classUnhealthy        // recent timeouts, a failed probe or a probe in progress
 	classExcluded         // must not get a flow
@@ -83,43 +84,63 @@
 	return ""
 }
 
-// selectServer returns the least loaded server for a new flow: in the given zone while it
-// has free slots, otherwise in any zone. It returns nil if no server may get the flow.
-// avoid is the server that did not answer an earlier SYN of this flow, or nil; it is
-// only selected if there is no other and it still accepts new flows.
-func (s *Steerer) selectServer(service *Service, zone model.Zone, avoid *target, now model.Time) *target {
-	load := s.loads[service.Name]
+// selectServer returns the server of a new flow, or nil if none may get it, and what is known of
+// that server if the load of the fleet is. r.avoid is only selected if there is no other and it
+// still accepts new flows.
+func (s *Steerer) selectServer(r request, now model.Time) (*target, *Placement) {
+	load := s.loads[r.service.Name]
 	if load == nil {
 		load = &serviceLoad{perOpenFlow: initialLoadPerFlow}
-		s.loads[service.Name] = load
+		s.loads[r.service.Name] = load
+	}
+	var best *target
+	var placement *Placement
+	if view := s.usableView(now); view == nil {
+		best = s.selectByCount(&r, load, now)
+	} else if c := s.selectByCompletion(&r, view, load, now); c != nil {
+		best, placement = c.target, c.placement()
+		if c.failing {
+			s.delayTrial(best, now)
+		}
+	}
+	if best == nil && r.avoid != nil && slices.Contains(r.service.Servers, r.avoid.server) && s.class(r.avoid, r.service, r.zone, 0, now) != classExcluded {
+		best = r.avoid
+	}
+	if best != nil {
+		best.StartTrial(now, 2*ResponseTimeout)
+		s.countColdFlow(best, now)
 	}
-	c := choice{zone: zone, avoid: avoid, class: math.MaxInt, score: math.Inf(1)}
-	if n := len(service.Servers); n > scanLimit {
+	return best, placement
+}
+
+// selectByCount returns the server with the fewest requests in progress through this instance: in
+// the given zone while it has free slots, otherwise in any zone. It returns nil if no server
+// may get the flow.
+func (s *Steerer) selectByCount(r *request, load *serviceLoad, now model.Time) *target {
+	c := choice{zone: r.zone, avoid: r.avoid, class: math.MaxInt, score: math.Inf(1)}
+	if n := len(r.service.Servers); n > scanLimit {
 		for range sampleSize {
-			s.consider(&c, service, load, service.Servers[s.random.IntN(n)], now)
+			s.consider(&c, r.service, load, r.service.Servers[s.random.IntN(n)], now)
 		}
 	}
 	if c.class > classBusy { // there was no sampling, or no sampled server is suitable
-		for _, server := range service.Servers {
-			s.consider(&c, service, load, server, now)
+		for _, server := range r.service.Servers {
+			s.consider(&c, r.service, load, server, now)
 		}
 	}
-	if c.flows > 0 {
-		load.perOpenFlow += loadSmoothing * (float64(c.busy)/float64(c.flows) - load.perOpenFlow)
-	}
-	if c.best == nil && avoid != nil && slices.Contains(service.Servers, avoid.server) && s.class(avoid, service, zone, 0, now) != classExcluded {
-		c.best = avoid
-	}
-	if c.best != nil {
-		c.best.StartTrial(now, 2*ResponseTimeout)
-		s.countColdFlow(c.best, now)
-	}
+	load.see(c.flows, c.busy)
 	return c.best
 }
 
+// see records the open flows of some servers and how many of them have a request in progress.
+func (l *serviceLoad) see(flows, busy int) {
+	if flows > 0 {
+		l.perOpenFlow += loadSmoothing * (float64(busy)/float64(flows) - l.perOpenFlow)
+	}
+}
+
 // choice holds the best server of those considered so far.
 type choice struct {
-	// zone is preferred: the own zone, unless admission control sends the flow elsewhere.
 	zone        model.Zone
 	avoid, best *target
 	class       int
--- a/internal/core/steering/select_test.go
+++ b/internal/core/steering/select_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/savorytiller/savorytiller/internal/core/belief"
 	"github.com/savorytiller/savorytiller/internal/core/model"
+	"github.com/savorytiller/savorytiller/internal/core/room"
 )
 
 // Guards against overload of a cold server. Only its home instance may send it new
@@ -132,12 +133,16 @@
 }
 
 // BenchmarkDecideNewFlowByServers measures the selection of a server for services of
-// different sizes.
+// different sizes, without and with a view of the fleet's load.
 func BenchmarkDecideNewFlowByServers(b *testing.B) {
-	for _, n := range []int{20, 250, 2500, 10_000} {
-		b.Run(fmt.Sprint(n), func(b *testing.B) {
+	for i, n := range []int{20, 250, 2500, 10_000, 30_000, 30, 250, 2500, 30_000} {
+		view := i >= 5
+		b.Run(fmt.Sprint(n, " view=", view), func(b *testing.B) {
 			r := newRig(b)
 			r.publish(servers("a", "z", n), servers("b", "z", 2))
+			if view {
+				r.snapshot.Room = viewOf(r, func(i int) room.ServerLoad { return room.ServerLoad{InProgress: float64(i % 3), Samples: 20} })
+			}
 			for i := 0; b.Loop(); i++ {
 				if i%20_000 == 0 {
 					r.steerer = NewSteerer(rand.New(rand.NewPCG(1, 2)), 5)
@@ -148,6 +153,23 @@
 	}
 }
 
+// BenchmarkDecideAnswer measures a request and the acknowledgement of its response, which is the
+// packet of a known flow that takes longest: two packets per operation.
+func BenchmarkDecideAnswer(b *testing.B) {
+	r := newRig(b)
+	token := r.openFlow(1, routeA).Token
+	p := Packet{Key: FlowKey{Endpoint{9, 1}, routeA}, Flags: ACK, Token: token, Sequence: 151, Acknowledged: 500}
+	b.ReportAllocs()
+	for b.Loop() {
+		r.now += millisecond
+		p.Length = 50
+		r.steerer.Decide(r.snapshot, r.now, &p)
+		r.now += 10 * millisecond
+		p.Sequence, p.Length, p.Acknowledged = p.Sequence+50, 0, p.Acknowledged+600
+		r.steerer.Decide(r.snapshot, r.now, &p)
+	}
+}
+
 // Guards against callers that wait for the end of their handshake although no server can take
 // their flow, and against refusals where a later copy of the SYN may reach a server: the view
 // may lack servers, some may be full, or one may have answered an earlier copy.
--- a/internal/core/steering/steerer.go
+++ b/internal/core/steering/steerer.go
@@ -41,6 +41,9 @@
 	// Load is the number of the server's requests in progress through this instance
 	// before the new flow was added.
 	Load int
+	// Placement is what is known of the server of a new flow; nil if it was selected without a
+	// usable view of the fleet's load.
+	Placement *Placement
 }
 
 // Steerer decides where the packets of one traffic goroutine go. It owns the flow
@@ -62,16 +65,24 @@
 	suspects     []*target // targets for which a probe is requested
 	nextSweepAt  model.Time
 	lost         lostFlows
-	// answerSizes holds the usual size of the answers of each route.
-	answerSizes map[Endpoint]*answerSize
-	load        loadTally
+	// routes holds what is usual for the requests of each route, and paths the time on the network
+	// to the servers of each zone and back.
+	routes map[routeOfService]*routeMeasure
+	paths  map[model.Zone]*pathTime
+	// viewNumber counts the views of the fleet's load that were seen.
+	viewNumber uint64
+	// candidates, answers and failing are buffers of selectByCompletion.
+	candidates []candidate
+	answers    []belief.Answers
+	failing    belief.FailingServers
+	load       loadTally
 }
 
 // NewSteerer returns a Steerer without flows. coldMargin is the number of new flows per
 // second that a cold server can take in addition to its service's ColdPerSecond.
 func NewSteerer(random *rand.Rand, coldMargin float64) *Steerer {
 	return &Steerer{coldMargin: coldMargin, random: random, flows: map[FlowKey]*flow{}, targets: map[Token]*target{},
-		loads: map[string]*serviceLoad{}, lost: newLostFlows(), answerSizes: map[Endpoint]*answerSize{}, load: newLoadTally()}
+		loads: map[string]*serviceLoad{}, lost: newLostFlows(), routes: map[routeOfService]*routeMeasure{}, paths: map[model.Zone]*pathTime{}, load: newLoadTally()}
 }
 
 // Flows returns the number of flow records.
@@ -99,6 +110,9 @@
 	if s.snapshot == snapshot {
 		return
 	}
+	if s.snapshot == nil || s.snapshot.Room != snapshot.Room {
+		s.viewNumber++
+	}
 	s.snapshot = snapshot
 	var lost []*target
 	for token, t := range s.targets {
@@ -165,7 +179,7 @@
 func (s *Steerer) targetOf(server *Server) *target {
 	t := s.targets[server.Token]
 	if t == nil {
-		t = &target{server: server}
+		t = &target{server: server, path: s.pathTo(server.Zone)}
 		s.targets[server.Token] = t
 	}
 	return t
@@ -198,13 +212,13 @@
 		s.recordTimeout(f.target, now, f.sentAt)
 		s.removeLoad(f)
 	}
-	t := s.selectServer(service, s.snapshot.Zone, avoid, now)
+	t, placement := s.selectServer(request{service, p.Key.Route, s.snapshot.Zone, avoid}, now)
 	if t == nil {
 		return s.decideWithoutServer(service, p, f == nil, now)
 	}
 	load := t.busy
 	s.addFlow(p, f, t, now)
-	return Decision{Action: Deliver, Reason: reason, Server: t.server, NewFlow: true, Route: route, Load: load}
+	return Decision{Action: Deliver, Reason: reason, Server: t.server, NewFlow: true, Route: route, Load: load, Placement: placement}
 }
 
 // addFlow records a new flow to a server. f is the flow's record if the SYN was
@@ -217,6 +231,7 @@
 		f = &flow{target: t, openedAt: now, synSequence: p.Sequence, priority: s.priorityOf(p.Key.Route)}
 		s.flows[p.Key] = f
 		s.load.arrived(f)
+		s.seeFlow(f, p.Key.Route)
 	}
 	f.target, f.lastPacketAt, f.sentAt = t, now, now
 	s.addLoad(f)
--- a/internal/traffic/packets/worker.go
+++ b/internal/traffic/packets/worker.go
@@ -178,7 +178,7 @@
 	}
 	switch {
 	case decision.NewFlow:
-		w.options.Log.Info("flow placed", append(values, "load", decision.Load)...)
+		w.options.Log.Info("flow placed", append(append(values, "load", decision.Load), placementValues(decision.Placement)...)...)
 	case decision.Action == steering.Reset:
 		w.options.Log.Info("flow reset", append(values, serverEvidence(decision.Server, snapshot, now)...)...)
 	default:
@@ -186,6 +186,15 @@
 	}
 }
 
+// placementValues returns log values of what was known of the server when a flow was placed.
+func placementValues(p *steering.Placement) []any {
+	if p == nil {
+		return nil
+	}
+	return []any{"in_progress", p.InProgress, "relative_time", p.RelativeTime, "samples", p.Samples, "failed_share", p.FailedShare,
+		"trial", p.Failing}
+}
+
 // serverEvidence returns log values that show why the flows of a server are reset: the result
 // and the age of its last probe, and whether its entry is missing or its run has ended.
 func serverEvidence(server *steering.Server, snapshot *steering.Snapshot, now model.Time) []any {
