--- a/internal/core/steering/preview.go
+++ b/internal/core/steering/preview.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math/rand/v2"
 	"slices"
 
@@ -23,7 +24,8 @@
 	// none.
 	Route   *Route
 	Service *Service
-	// Candidates are the best of the servers that were considered, in the order of preference.
+	// Candidates are the choice and the best of the servers that were considered, in the order of
+	// preference. While the own zone has no free slot, the choice can be the first of class "far".
 	// Considered is the number of all; a server of a large service, of which a sample is
 	// considered, may count more than once.
 	Candidates []Candidate
@@ -36,8 +38,9 @@
 // Candidate is a server that was considered for a new flow.
 type Candidate struct {
 	Server *Server
-	// Class is how the server is preferred, and Score orders the servers of a class; the least is
-	// the best.
+	// Class is how the server is preferred. Score is the load of the server per slot or, with
+	// Placement, the expected completion relative to the usual response time, squared in the
+	// preferred zone; the server is then drawn with a probability proportional to 1/Score.
 	Class string
 	Score float64
 	// Flows and Busy count the open flows through this instance and, of these, the ones with a
@@ -47,7 +50,13 @@
 	// since.
 	RespondedAt model.Time
 	Timeouts    int
+	// Placement is what is known from the load of the fleet, or nil without a usable view.
+	// MeasuredAt is when its answers were last observed or received.
+	Placement   *Placement
+	MeasuredAt  model.Time
+	Restriction Restriction
 	class       int
+	order       float64
 }
 
 // preview is the part of a Steerer that exists only in a copy made for a preview. The decision
@@ -58,8 +67,10 @@
 	targets map[*target]*target
 	// records is the number of flow records of origin that were not copied.
 	records int
-	// best are the best candidates so far, and considered is the number of all.
+	// best are the best candidates so far, firsts the best ones of each class, and considered is the
+	// number of all.
 	best       []Candidate
+	firsts     [classExcluded]Candidate
 	considered int
 	verdict    *admission.Verdict
 }
@@ -79,7 +90,7 @@
 	defer s.source.endPreview()
 	c := s.copyFor(snapshot, now, p)
 	out.Decision = c.Decide(snapshot, now, p)
-	out.Candidates, out.Considered = c.preview.best, c.preview.considered
+	out.Candidates, out.Considered = c.preview.list(out.Decision.Server), c.preview.considered
 	out.Verdict = c.preview.verdict
 	return out
 }
@@ -96,7 +107,12 @@
 		c.loads[name] = &copied
 	}
 	c.pendingSYNs, c.suspects = slices.Clip(s.pendingSYNs), nil
-	c.lost, c.answerSizes = newLostFlows(), map[Endpoint]*answerSize{}
+	c.lost, c.paths = newLostFlows(), maps.Clone(s.paths) // a SYN changes no path
+	c.routes = make(map[routeOfService]*routeMeasure, len(s.routes))
+	for key, r := range s.routes {
+		copied := *r
+		c.routes[key] = &copied
+	}
 	c.load = s.load.copy()
 	c.admitter = s.admitter.copy(p.Key)
 	newSnapshot := s.snapshot != snapshot
@@ -173,7 +189,6 @@
 		copied := *load
 		c.classes[class] = &copied
 	}
-	c.usualTimes = map[routeOfService]*usualTime{}
 	return c
 }
 
@@ -205,18 +220,32 @@
 	}
 }
 
-// noteCandidate records a server that is considered for the new flow if this is a preview. Of
-// several records of a server the best counts, because the selection compares all.
-func (s *Steerer) noteCandidate(t *target, class int, score float64, now model.Time) {
-	if s.preview == nil {
-		return
+// candidateOf describes a target that is considered. The least order of a class is preferred.
+func (s *Steerer) candidateOf(t *target, class int, score, order float64, placement *Placement, now model.Time) Candidate {
+	c := Candidate{Server: t.server, Class: classNames[class], Score: score, Flows: t.flows, Busy: t.busy, Placement: placement,
+		RespondedAt: t.RespondedAt, Timeouts: t.Timeouts(now), Restriction: s.restriction(t, s.snapshot.Services[t.server.Service], now), class: class, order: order}
+	if placement != nil {
+		if c.MeasuredAt = t.measured.lastAt; t.fleet.Samples >= t.measured.sum(now).count {
+			c.MeasuredAt = t.fleet.UpdatedAt
+		}
+	}
+	return c
+}
+
+// restartPreview forgets the candidates if this is a preview, because the selection does.
+func (s *Steerer) restartPreview() {
+	if s.preview != nil {
+		s.preview.best, s.preview.firsts, s.preview.considered = nil, [classExcluded]Candidate{}, 0
 	}
-	s.preview.consider(Candidate{Server: t.server, Class: classNames[class], Score: score, Flows: t.flows, Busy: t.busy,
-		RespondedAt: t.RespondedAt, Timeouts: t.Timeouts(now), class: class})
 }
 
+// consider records a candidate. Of several records of a server the best counts, because the
+// selection compares all.
 func (p *preview) consider(c Candidate) {
 	p.considered++
+	if first := &p.firsts[c.class]; first.Server == nil || c.compare(first) < 0 {
+		*first = c
+	}
 	if i := slices.IndexFunc(p.best, func(old Candidate) bool { return old.Server == c.Server }); i >= 0 {
 		if c.compare(&p.best[i]) >= 0 {
 			return
@@ -230,9 +259,19 @@
 	}
 }
 
+// list returns the best candidates. A choice that is the best of its class only, for example of the
+// servers of other zones, takes the last place.
+func (p *preview) list(choice *Server) []Candidate {
+	listed := func(c Candidate) bool { return c.Server == choice }
+	if i := slices.IndexFunc(p.firsts[:], listed); choice != nil && i >= 0 && !slices.ContainsFunc(p.best, listed) {
+		p.best[len(p.best)-1] = p.firsts[i]
+	}
+	return p.best
+}
+
 // compare orders candidates by preference.
 func (c *Candidate) compare(o *Candidate) int {
-	return cmp.Or(cmp.Compare(c.class, o.class), cmp.Compare(c.Score, o.Score))
+	return cmp.Or(cmp.Compare(c.class, o.class), cmp.Compare(c.order, o.order))
 }
 
 // randomSource is a source of random numbers. A preview sees the numbers that the next decisions
