registry, platform: fewer probes of unreachable servers

Cause: when servers stop responding, each instance of their zone repeated full probes of each of them, with five connections each: more connections than callers open. The metrics did not show it. Change: a repeated probe of a server that was found unreachable uses at most two connections, and its failure is no evidence for resets; full probes are left to suspicions of flows and to reports about servers that this instance has not found unreachable. A suspicion during a probe that fails is answered by it. Counters by cause: connections of probes, repeated probes and monitors, and flow_open for new flows, copies of SYNs and trials.

--- a/internal/adapter/peerudp/codec.go
+++ b/internal/adapter/peerudp/codec.go
@@ -52,6 +52,7 @@
 	Parts              int
 	UnreachableServers []wireServerRun
 	Tokens             []steering.Token
+	RecoveredServers   []wireServerRun
 }
 
 type wireServerRun struct {
@@ -155,9 +156,7 @@
 	for i := range m.Updates {
 		w.Updates = append(w.Updates, newWireMember(&m.Updates[i].Member))
 	}
-	for _, s := range m.UnreachableServers {
-		w.UnreachableServers = append(w.UnreachableServers, wireServerRun{ID: string(s.ID), Started: s.Started})
-	}
+	w.UnreachableServers, w.RecoveredServers = newWireServerRuns(m.UnreachableServers), newWireServerRuns(m.RecoveredServers)
 	for i := range m.Entries {
 		w.Entries = append(w.Entries, newWireEntry(&m.Entries[i]))
 	}
@@ -194,6 +193,20 @@
 		Liveness: uint8(m.Liveness), Address: addressBytes(m.PeerAddress), Capacity: m.Capacity}
 }
 
+func newWireServerRuns(runs []catalog.ServerRun) (all []wireServerRun) {
+	for _, r := range runs {
+		all = append(all, wireServerRun{ID: string(r.ID), Started: r.Started})
+	}
+	return all
+}
+
+func serverRuns(runs []wireServerRun) (all []catalog.ServerRun) {
+	for _, r := range runs {
+		all = append(all, catalog.ServerRun{ID: model.ServerID(r.ID), Started: r.Started})
+	}
+	return all
+}
+
 func newWireEntry(e *catalog.Entry) wireEntry {
 	w := wireEntry{Key: e.Key, Revision: e.Revision, Removed: e.Removed, Withdrawn: string(e.Withdrawn)}
 	switch {
@@ -258,9 +271,7 @@
 		u.Member, err = w.Updates[i].member()
 		m.Updates = append(m.Updates, u)
 	}
-	for _, s := range w.UnreachableServers {
-		m.UnreachableServers = append(m.UnreachableServers, catalog.ServerRun{ID: model.ServerID(s.ID), Started: s.Started})
-	}
+	m.UnreachableServers, m.RecoveredServers = serverRuns(w.UnreachableServers), serverRuns(w.RecoveredServers)
 	for i := 0; err == nil && i < len(w.Entries); i++ {
 		var e catalog.Entry
 		e, err = w.Entries[i].entry()
--- a/internal/app/steer/instance.go
+++ b/internal/app/steer/instance.go
@@ -147,11 +147,14 @@
 	if c := i.control.Counts(); c != nil {
 		for name, n := range map[string]uint64{"lists": c.Lists, "watches": c.Watches, "checks": c.Checks,
 			"failures": c.Failures, "compactions": c.Compactions, "restores": c.Restores, "missed_changes": c.MissedChanges,
-			"unusable_entries": c.UnusableEntries, "probes": c.Probes, "late_probes": c.LateProbes, "pulls": c.Pulls} {
+			"unusable_entries": c.UnusableEntries, "probes": c.Probes, "repeated_probes": c.RepeatedProbes, "late_probes": c.LateProbes, "pulls": c.Pulls} {
 			out["registry_"+name] = float64(n)
 		}
 		out["control_lag_ms"] = float64(c.LagMs)
 	}
+	connections := i.platform.Prober.Connections()
+	out["connections_probes"], out["connections_repeated_probes"] = float64(connections.Probes), float64(connections.Reprobes)
+	out["connections_monitors"] = float64(connections.Monitors)
 	for _, t := range i.peers.Traffic() {
 		scope := "other_zones"
 		if t.OwnZone {
--- a/internal/control/registry/events.go
+++ b/internal/control/registry/events.go
@@ -57,6 +57,8 @@
 	sentAt  model.Time
 	result  belief.ProbeResult
 	elapsed time.Duration
+	// repeated is catalog.Probe.Repeated.
+	repeated bool
 }
 
 // effect is an action that Control executes for the machine, such as a call or a message.
@@ -105,9 +107,12 @@
 func (f effProbe) run(ctx context.Context, o *Options) event {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	s := f.probe.Server
-	result := o.Prober.Probe(ctx, s.ID, s.Address, f.probe.HealthPath)
-	return evProbed{s, f.sentAt, result, o.Clock.Now().Sub(f.sentAt)}
+	s, probe := f.probe.Server, o.Prober.Probe
+	if f.probe.Repeated {
+		probe = o.Prober.Reprobe
+	}
+	result := probe(ctx, s.ID, s.Address, f.probe.HealthPath)
+	return evProbed{s, f.sentAt, result, o.Clock.Now().Sub(f.sentAt), f.probe.Repeated}
 }
 
 // effSend sends a message to another instance.
--- a/internal/control/registry/fleet_test.go
+++ b/internal/control/registry/fleet_test.go
@@ -168,6 +168,8 @@
 	onChanges func(from int)
 	// onEffect performs the effects that concern servers; may be nil.
 	onEffect func(node int, x effect)
+	// deliveries returns after what times copies of a message arrive; may be nil.
+	deliveries func(m *peer.Message) []time.Duration
 	// paused is until when each instance stands still. Its events wait.
 	paused []model.Time
 }
@@ -354,7 +356,13 @@
 				copied.Entries[i].Config = nil // as after encoding and decoding
 			}
 		}
-		f.post(f.now+ms+model.Time(f.random.IntN(4))*ms, to, evMessage{&copied})
+		delays := []time.Duration{0}
+		if f.deliveries != nil {
+			delays = f.deliveries(&copied)
+		}
+		for _, delay := range delays {
+			f.post(f.now.Add(delay)+ms+model.Time(f.random.IntN(4))*ms, to, evMessage{&copied})
+		}
 	}
 }
 
--- a/internal/control/registry/machine.go
+++ b/internal/control/registry/machine.go
@@ -112,14 +112,16 @@
 	counts             Counts
 	lookups            lookups
 	ends               ends
+	recoveries         recoveries
 }
 
 // Counts holds the numbers of calls and events since the start. Failures counts failed
 // listings, watches and checks; Restores counts restores of
-// the registry that the catalog has followed; Probes counts probes of servers, and LateProbes
-// those that failed while this instance ran late.
+// the registry that the catalog has followed; Probes counts probes of servers, RepeatedProbes
+// those of them that were repeated for an unreachable server, and LateProbes those that failed
+// while this instance ran late.
 type Counts struct {
-	Lists, Watches, Checks, Failures, Compactions, Restores, MissedChanges, UnusableEntries, Probes, LateProbes, Pulls uint64
+	Lists, Watches, Checks, Failures, Compactions, Restores, MissedChanges, UnusableEntries, Probes, RepeatedProbes, LateProbes, Pulls uint64
 	// LagMs is how late a timer of the control goroutine fired at most in the last seconds,
 	// in milliseconds.
 	LagMs uint64
@@ -129,7 +131,7 @@
 	random := rand.New(rand.NewPCG(o.Seed, o.Seed^0x9e3779b97f4a7c15))
 	o.Catalog.NewFlowLimit = o.Bounds.newFlowLimit()
 	m := &machine{zone: o.Self.Zone, random: random, log: o.Log, catalog: catalog.New(o.Catalog),
-		timing: timingFor(o.Bounds), lookups: newLookups(), ends: newEnds(), probeLimit: maxConcurrentProbes}
+		timing: timingFor(o.Bounds), lookups: newLookups(), ends: newEnds(), recoveries: newRecoveries(), probeLimit: maxConcurrentProbes}
 	m.peers = peers{seeds: o.Seeds, table: member.New(o.Self, random), calls: map[uint32]*pendingCall{}, partials: map[model.InstanceID]*partialChanges{}, unresponsiveSince: map[model.Zone]model.Time{}, reportedAt: map[catalog.ServerRun]model.Time{},
 		lastMessageAt: map[model.Zone]model.Time{}}
 	m.peers.setMembers([]model.Member{o.Self})
@@ -188,6 +190,7 @@
 	m.publish()
 	m.lookUpTokens()
 	m.sendEndReports()
+	m.sendRecoveries()
 }
 
 // scheduleWake schedules a wake-up at the given time unless an earlier one is scheduled.
@@ -204,6 +207,9 @@
 		m.suspectZone(p.Server.Zone)
 		m.runningProbes++
 		m.counts.Probes++
+		if p.Repeated {
+			m.counts.RepeatedProbes++
+		}
 		m.effects = append(m.effects, effProbe{p, m.now})
 	}
 	if len(due) > 0 {
@@ -230,10 +236,19 @@
 }
 
 // probeDone records the result of a server probe. A failure counts only if it was processed in
-// time and some call that was sent since the start of the probe was answered.
+// time and some call that was sent since the start of the probe was answered. That of a
+// repeated probe leaves what is known.
 func (m *machine) probeDone(e evProbed) {
 	m.runningProbes--
 	inTime := m.probeInTime(&e)
+	if e.repeated && e.result == belief.Unreachable {
+		m.catalog.RecordFailedRepeat(e.sentAt, m.now, e.server.Run())
+		m.leaveRepeats(&e.server)
+		return
+	}
+	if e.repeated || e.result == belief.Reachable {
+		m.reportRecovery(&e.server, e.result)
+	}
 	if e.result == belief.Unreachable && (!inTime || m.lastAnsweredCallAt.Before(e.sentAt)) {
 		e.result = belief.ProbeUnknown
 	}
@@ -255,8 +270,11 @@
 	if result == belief.Ended || answered && !answeredBefore {
 		m.reportEnd(server)
 	}
-	if changed && (result == belief.Unreachable || result == belief.Ended) {
-		m.reportServer(server)
+	if result == belief.Unreachable || result == belief.Ended {
+		m.leaveRepeats(server)
+		if changed {
+			m.reportServer(server)
+		}
 	}
 	return changed
 }
--- a/internal/control/registry/machine_test.go
+++ b/internal/control/registry/machine_test.go
@@ -278,6 +278,12 @@
 	return belief.ProbeUnknown
 }
 
+func (noProber) Reprobe(context.Context, model.ServerID, netip.AddrPort, string) belief.ProbeResult {
+	return belief.ProbeUnknown
+}
+
+func (noProber) Connections() port.ProbeConnections { return port.ProbeConnections{} }
+
 func (noProber) Monitor(ctx context.Context, _ netip.AddrPort) belief.ProbeResult {
 	<-ctx.Done()
 	return belief.ProbeUnknown
--- a/internal/control/registry/model_test.go
+++ b/internal/control/registry/model_test.go
@@ -139,7 +139,7 @@
 			// The answer waits in the socket until the probe has timed out.
 			result, after = belief.Unreachable, model.Time(probeTimeout)+model.Time(50+w.random.IntN(500))*ms
 		}
-		w.post(w.now+after, node, evProbed{server: x.probe.Server, sentAt: x.sentAt, result: result})
+		w.post(w.now+after, node, evProbed{server: x.probe.Server, sentAt: x.sentAt, result: result, repeated: x.probe.Repeated})
 	case effMonitor:
 		s := w.serverOf(x.server.ID)
 		e := evMonitored{server: x.server, at: w.now + 5*ms, result: belief.ProbeUnknown}
--- a/internal/control/registry/peers.go
+++ b/internal/control/registry/peers.go
@@ -386,6 +386,7 @@
 		m.receiveLookupAnswer(message)
 	}
 	m.receiveReport(message)
+	m.receiveRecoveries(message)
 	m.comparePosition(message)
 }
 
--- a/internal/control/registry/unreachable.go
+++ b/internal/control/registry/unreachable.go
@@ -83,7 +83,7 @@
 			break
 		}
 		p.reportedAt[s] = m.now
-		m.catalog.MarkSuspect(m.now, s)
+		m.catalog.MarkReported(m.now, s)
 	}
 	if m.forwardsToZone(message) {
 		m.reportToOwnZone(message.UnreachableServers)
@@ -95,4 +95,5 @@
 	expired := func(_ catalog.ServerRun, at model.Time) bool { return m.now.Sub(at) >= reportHoldDown }
 	maps.DeleteFunc(m.peers.reportedAt, expired)
 	maps.DeleteFunc(m.ends.reportedAt, expired)
+	maps.DeleteFunc(m.recoveries.knownAt, expired)
 }
--- a/internal/core/belief/acts_test.go
+++ b/internal/core/belief/acts_test.go
@@ -60,6 +60,29 @@
 	}
 }
 
+// Guards against resets that a repeated probe justifies, which makes only two attempts, and against
+// an end that is taken as proven although the port was last found silent.
+func TestFailedRepeatIsNoNewEvidence(t *testing.T) {
+	var e Evidence
+	e.SeeProbe(10*second, Unreachable)
+	e.ProbingSince = 12 * second
+	e.SeeFailedRepeat()
+	require.True(t, e.RepeatsProbe())
+	require.False(t, e.RecentlyUnreachable(13*second, &Traffic{}))
+	require.False(t, e.Unreachable(&Traffic{RespondedAt: 11 * second}))
+	require.True(t, e.SeeSuspicion(11*second), "a flow gets a full probe")
+
+	e.SeeProbe(14*second, Ended)
+	e.SeeFailedRepeat()
+	e.SeeRemoval(16*second, 16*second)
+	require.False(t, e.EndProven())
+
+	e = Evidence{}
+	e.SeeProbe(10*second, ProbeUnknown)
+	e.SeeFailedRepeat()
+	require.False(t, e.ProbeFailed())
+}
+
 // Guards against a probe for a suspicion that is older than what a probe has shown since.
 func TestSuspicionOlderThanAProbeIsDropped(t *testing.T) {
 	var e Evidence
--- a/internal/core/belief/evidence.go
+++ b/internal/core/belief/evidence.go
@@ -50,7 +50,8 @@
 	// answered.
 	EndSeenAt, AnsweredAt model.Time
 	EndReported           bool
-	// ProbeResult is the result of the last probe, which was sent at ProbeSentAt.
+	// ProbeResult is the result of the last probe, which was sent at ProbeSentAt. Repeated probes
+	// that failed do not count, see SeeFailedRepeat.
 	ProbeResult ProbeResult
 	ProbeSentAt model.Time
 	// SuspectedAt is since when a probe is wanted, and ProbingSince since when one is in
@@ -86,9 +87,13 @@
 	}
 }
 
-// SeeProbe records the result of a probe.
+// SeeProbe records the result of a probe. A failure also answers the suspicions that arose while
+// the probe was in progress.
 func (e *Evidence) SeeProbe(sentAt model.Time, result ProbeResult) {
 	e.ProbeResult, e.ProbeSentAt, e.ProbingSince = result, sentAt, 0
+	if e.ProbeFailed() {
+		e.SuspectedAt = 0
+	}
 	switch {
 	case result == Ended:
 		e.EndSeenAt, e.AnsweredAt, e.EndReported = sentAt, 0, false
@@ -97,6 +102,16 @@
 	}
 }
 
+// SeeFailedRepeat records that a repeated probe of an unreachable run failed too. With so few
+// connections that is no evidence for resets, so ProbeSentAt stays. A closed port that was seen
+// before is no longer the latest result.
+func (e *Evidence) SeeFailedRepeat() {
+	e.ProbingSince = 0
+	if e.ProbeFailed() {
+		e.ProbeResult = Unreachable
+	}
+}
+
 // SeeReportedEnd records that another instance saw the end of the run. What this instance
 // itself has seen later stands against it; the result is false then.
 func (e *Evidence) SeeReportedEnd(at model.Time) bool {
--- a/internal/core/catalog/catalog.go
+++ b/internal/core/catalog/catalog.go
@@ -50,10 +50,14 @@
 type server struct {
 	entry ServerEntry
 	belief.Evidence
-	// probedAt is when the last probe ended; 0 if there was none.
-	probedAt model.Time
-	// retryDelay is the time until the next probe of an unreachable server.
+	// probedAt is when the last probe ended, fullyProbedAt the last one that was no failed
+	// repeat; 0 if there was none.
+	probedAt, fullyProbedAt model.Time
+	// retryDelay is the time from probedAt to the next probe of an unreachable server.
 	retryDelay time.Duration
+	// recoveryReportedAt is when another instance last reported that the server answers again
+	// while it was unreachable from here.
+	recoveryReportedAt model.Time
 }
 
 // Catalog merges the entries from the registry and from other instances. It is not safe
--- a/internal/core/catalog/probes.go
+++ b/internal/core/catalog/probes.go
@@ -18,12 +18,18 @@
 	// again soon after a short partition, and doubles with each failure.
 	minUnreachableInterval = 700 * time.Millisecond
 	maxUnreachableInterval = 4 * time.Second
+	// maxPromptInterval replaces maxUnreachableInterval for a server whose address does not
+	// respond, because other instances wait for the report of this one. A closed port is
+	// left out: each probe of it is reported to the whole fleet.
+	maxPromptInterval = time.Second
 )
 
 // Probe is a probe that is due.
 type Probe struct {
 	Server     ServerEntry
 	HealthPath string
+	// Repeated is set if an earlier probe failed and no flow has suspected the server since.
+	Repeated bool
 }
 
 // MarkSuspect requests a probe of a run of a server that did not respond as of a given time.
@@ -33,6 +39,14 @@
 	}
 }
 
+// MarkReported requests a probe of a run that another instance did not reach at a given time,
+// unless this one is probing it or has not reached it either.
+func (c *Catalog) MarkReported(at model.Time, r ServerRun) {
+	if s := c.servers[r]; s != nil && s.ProbingSince == 0 && !s.ProbeFailed() {
+		c.MarkSuspect(at, r)
+	}
+}
+
 // DueProbes returns at most limit servers to probe now and marks them as being probed.
 // next is when the next probe is due: now if more than limit are, 0 for none.
 // Unreachable servers are probed again even if no flow suspects them, but only if
@@ -47,14 +61,14 @@
 		if s.ProbingSince != 0 {
 			continue
 		}
-		interval := minProbeInterval
+		last, interval := s.fullyProbedAt, minProbeInterval
 		if !suspect {
 			if !zoneReachable(s.entry.Zone) {
 				continue
 			}
-			interval = s.retryDelay
+			last, interval = s.probedAt, s.retryDelay
 		}
-		if at := s.probedAt.Add(interval); s.probedAt != 0 && at.After(now) {
+		if at := last.Add(interval); last != 0 && at.After(now) {
 			if next == 0 || at.Before(next) {
 				next = at
 			}
@@ -65,7 +79,7 @@
 		}
 		s.ProbingSince, s.SuspectedAt = now, 0
 		c.changed = c.changed || !s.ProbeFailed()
-		due = append(due, Probe{Server: s.entry, HealthPath: c.healthPath(s.entry.Service)})
+		due = append(due, Probe{Server: s.entry, HealthPath: c.healthPath(s.entry.Service), Repeated: !suspect})
 	}
 	return due, next
 }
@@ -83,17 +97,17 @@
 	return "/"
 }
 
-// RecordProbe records the result of a probe that was sent at sentAt. It reports whether
-// the result differs from the previous one.
+// RecordProbe records the result of a probe that was sent at sentAt, except a repeated one that
+// failed. It reports whether the result differs from the previous one.
 func (c *Catalog) RecordProbe(sentAt, now model.Time, r ServerRun, result belief.ProbeResult) bool {
 	s := c.servers[r]
 	if s == nil {
 		return false
 	}
-	s.probedAt = now
+	s.probedAt, s.fullyProbedAt = now, now
 	before, failedBefore := s.ProbeResult, s.ProbeFailed()
 	s.SeeProbe(sentAt, result)
-	s.retryDelay = min(2*s.retryDelay, maxUnreachableInterval)
+	s.backOff()
 	if !failedBefore || !s.ProbeFailed() {
 		s.retryDelay = minUnreachableInterval
 	}
@@ -104,6 +118,53 @@
 	return before != result
 }
 
+// RecordFailedRepeat records that a repeated probe that was sent at sentAt failed.
+func (c *Catalog) RecordFailedRepeat(sentAt, now model.Time, r ServerRun) {
+	s := c.servers[r]
+	if s == nil {
+		return
+	}
+	s.probedAt = now
+	s.SeeFailedRepeat()
+	s.backOff()
+	if s.recoveryReportedAt.After(sentAt) {
+		s.retryDelay = 0 // the server may have answered since this probe was sent
+	}
+	c.changed = true // ProbingSince is in the snapshot
+}
+
+// backOff increases the time until the next repeated probe.
+func (s *server) backOff() {
+	limit := maxUnreachableInterval
+	if s.ProbeResult == belief.Unreachable {
+		limit = maxPromptInterval
+	}
+	s.retryDelay = min(max(2*s.retryDelay, minUnreachableInterval), limit)
+}
+
+// LeaveRepeats delays the next repeated probe of a run by the longest interval, because other
+// instances repeat it sooner and report when the server answers. A report that already
+// arrived is followed.
+func (c *Catalog) LeaveRepeats(r ServerRun) {
+	if s := c.servers[r]; s != nil && s.retryDelay != 0 {
+		s.retryDelay = maxUnreachableInterval
+	}
+}
+
+// RecordReportedRecovery makes the next repeated probe of a run due at once, because another
+// instance reported that the server answers again. The report alone is no evidence.
+func (c *Catalog) RecordReportedRecovery(now model.Time, r ServerRun) {
+	if s := c.servers[r]; s != nil && s.RepeatsProbe() {
+		s.recoveryReportedAt, s.retryDelay = now, 0
+	}
+}
+
+// Unreachable reports whether the last probe of a run failed.
+func (c *Catalog) Unreachable(r ServerRun) bool {
+	s := c.servers[r]
+	return s != nil && s.ProbeFailed()
+}
+
 // RecordReportedEnd records that another instance saw the end of a listed run at a given time.
 // It reports whether that was news.
 func (c *Catalog) RecordReportedEnd(at model.Time, r ServerRun) bool {
--- a/internal/core/model/reason.go
+++ b/internal/core/model/reason.go
@@ -29,6 +29,7 @@
 
 	// Flows that carry a token.
 	ReasonLeastLoad    // new flow, sent to the least loaded server that accepts it
+	ReasonTrial        // new flow, sent to a server that was not reached by the last probe or is being probed
 	ReasonUnknownToken // no server has the token
 	ReasonRouteRemoved
 	ReasonSendFailed
@@ -104,6 +105,7 @@
 	ReasonQueueFull:             "queue_full",
 	ReasonTableFull:             "table_full",
 	ReasonLeastLoad:             "least_load",
+	ReasonTrial:                 "trial",
 	ReasonUnknownToken:          "unknown_token",
 	ReasonRouteRemoved:          "route_removed",
 	ReasonSendFailed:            "send_failed",
--- a/internal/core/peer/cause.go
+++ b/internal/core/peer/cause.go
@@ -11,7 +11,7 @@
 	CauseJoin
 	// CauseConfirmation covers messages that announce a revision and its confirmation.
 	CauseConfirmation
-	// CauseReport covers reports of unreachable servers.
+	// CauseReport covers reports of unreachable and recovered servers.
 	CauseReport
 	// CauseChanges covers changes of the registry and CauseListing complete listings.
 	CauseChanges
@@ -40,7 +40,7 @@
 		return CausePull
 	case m.Kind == Lookup || m.Kind == LookupAnswer:
 		return CauseLookup
-	case len(m.UnreachableServers) > 0:
+	case len(m.UnreachableServers) > 0 || len(m.RecoveredServers) > 0:
 		return CauseReport
 	case m.Join:
 		return CauseJoin
--- a/internal/core/peer/message.go
+++ b/internal/core/peer/message.go
@@ -23,8 +23,8 @@
 	Answer
 	// IndirectProbe requests that the receiver probe Target.
 	IndirectProbe
-	// Gossip carries what every message carries, and UnreachableServers if there are any to
-	// report.
+	// Gossip carries what every message carries, and UnreachableServers and RecoveredServers if
+	// there are any to report.
 	Gossip
 	// Changes carries entries.
 	Changes
@@ -67,6 +67,10 @@
 	// probes them itself.
 	UnreachableServers []catalog.ServerRun
 
+	// RecoveredServers are servers that were unreachable and answer again. A receiver that could
+	// not reach one of them probes it itself.
+	RecoveredServers []catalog.ServerRun
+
 	// CutOff is set if the sender no longer gets messages from instances of other zones.
 	CutOff bool
 
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -267,6 +267,12 @@
 	return m.Owner(zone, Mix(HashString(string(server)), homeSalt))
 }
 
+// RankHomes appends the home instance of a server and those that would succeed it, at most limit
+// live instances of the zone in total, to dst.
+func (m *Members) RankHomes(dst []*model.Member, server model.ServerID, zone model.Zone, limit int) []*model.Member {
+	return m.Rank(dst, zone, Mix(HashString(string(server)), homeSalt), limit, false)
+}
+
 // SlotHolder returns the instance that holds a slot of a server, or nil if the
 // zone has no live instance.
 func (m *Members) SlotHolder(server model.ServerID, zone model.Zone, slot int) *model.Member {
--- a/internal/port/registry.go
+++ b/internal/port/registry.go
@@ -11,17 +11,27 @@
 	"github.com/savorytiller/savorytiller/internal/core/peer"
 )
 
-// Prober checks whether a backend server responds.
+// Prober checks whether a backend server responds. Its methods are safe for concurrent use.
 type Prober interface {
 	// Probe sends a request to the server and waits for the response until the
-	// context ends.
+	// context ends. It opens as many connections as it takes to tell an unreachable server
+	// from lost packets.
 	Probe(ctx context.Context, id model.ServerID, address netip.AddrPort, path string) belief.ProbeResult
+	// Reprobe is Probe with at most two connections, for a server that was found unreachable.
+	// Unreachable means only that neither was established.
+	Reprobe(ctx context.Context, id model.ServerID, address netip.AddrPort, path string) belief.ProbeResult
 	// Monitor holds a connection to the server, without requests, and opens the next one when
 	// it is closed. It returns Ended once the port is closed, and ProbeUnknown if the server
 	// cannot be reached or the context ends.
 	Monitor(ctx context.Context, address netip.AddrPort) belief.ProbeResult
+	// Connections returns the connections that were attempted so far.
+	Connections() ProbeConnections
 }
 
+// ProbeConnections holds the numbers of attempted connections to servers by the method of
+// Prober that attempted them.
+type ProbeConnections struct{ Probes, Reprobes, Monitors uint64 }
+
 // Registry reads the store to which operators and backend servers publish. Its
 // errors are ErrUnavailable, ErrBusy, ErrTooLarge and ErrMalformed.
 type Registry interface {
--- a/internal/traffic/packets/worker.go
+++ b/internal/traffic/packets/worker.go
@@ -21,6 +21,8 @@
 const (
 	part      = "flow"
 	partReset = "flow_reset"
+	// partOpen counts the connections that new flows open at servers, by cause.
+	partOpen = "flow_open"
 )
 
 // bufferSize holds the headroom of the codec and the largest datagram that is received
@@ -100,6 +102,9 @@
 	o.Recorder.Count(part, decision.Reason)
 	switch decision.Action {
 	case steering.Deliver:
+		if decision.NewFlow {
+			o.Recorder.Count(partOpen, openingCause(&decision, p))
+		}
 		w.send(decision.Server.Address, o.Codec.Encapsulate(buffer, decision.Server, decision.Server.Token))
 	case steering.Reset:
 		o.Recorder.Count(partReset, decision.Reason)
@@ -118,6 +123,20 @@
 	w.resetLostFlows(snapshot, now)
 }
 
+// openingCause returns why a SYN is sent to the server of a decision: for a new flow, as a copy
+// of one that another server may have received, or as a trial of a server that a probe did not
+// reach.
+func openingCause(decision *steering.Decision, p *steering.Packet) model.Reason {
+	switch server := decision.Server; {
+	case server.ProbeFailed() || server.ProbingSince != 0:
+		return model.ReasonTrial
+	case p.Retransmissions > 0 || decision.Reason == model.ReasonAlternative:
+		return model.ReasonAlternative
+	default:
+		return model.ReasonLeastLoad
+	}
+}
+
 // resetLostFlows resets flows whose server cannot continue them, at most maxResetsPerPacket
 // so that packets don't wait for long.
 func (w *Worker) resetLostFlows(snapshot *steering.Snapshot, now model.Time) {
