request, capacity: priorities of request classes

Cause: while slots were short, urgent requests waited and were refused like all others, each after the whole wait for a slot, and callers were not told when to try again. Change: a request kind may state a priority (0 to 99, the same for all kinds of a class, none is the lowest). Where the priorities of a service differ, freed slots go to classes below their guaranteed share, then to the most urgent one; each waiting class keeps at least 5 % of them. An instance that is short of slots for urgent requests borrows from instances where only less urgent ones wait: slot.acquire waits there up to 20 ms. A request whose wait by the measured drain of its class exceeds the longest wait or its deadline is refused at once, and refusals as overloaded carry Retry-After. The digest of a configuration without priorities is unchanged.

--- a/internal/adapter/configservice/codec.go
+++ b/internal/adapter/configservice/codec.go
@@ -31,6 +31,7 @@
 	Idempotent bool   `json:"idempotent"`
 	Class      string `json:"class"`
 	Share      int    `json:"share_percent"`
+	Priority   *int64 `json:"priority"`
 }
 
 type serviceJSON struct {
@@ -243,8 +244,15 @@
 		if r := checkRange("share_percent of kind "+k.Name, int64(k.Share), 100); r != nil {
 			return s, r
 		}
+		priority := model.LowestPriority
+		if k.Priority != nil {
+			if r := checkRange("priority of kind "+k.Name, *k.Priority, model.MaxStatedPriority); r != nil {
+				return s, r
+			}
+			priority = uint8(*k.Priority)
+		}
 		s.Kinds = append(s.Kinds, model.RequestKind{Name: k.Name, Method: k.Method, PathPrefix: k.PathPrefix,
-			Idempotent: k.Idempotent, Class: k.Class, Share: uint8(k.Share)})
+			Idempotent: k.Idempotent, Class: k.Class, Share: uint8(k.Share), Priority: priority})
 	}
 	var err error
 	s.VirtualAddress, err = parseAddress("virtual_address of service "+in.Name, in.VirtualAddress)
--- a/internal/adapter/configservice/codec_test.go
+++ b/internal/adapter/configservice/codec_test.go
@@ -42,6 +42,29 @@
 	return note.Apply(c, n)
 }
 
+// priorities returns a note that changes service images to two kinds of class c with the given fields.
+func priorities(first, second string) string {
+	return secondNote(`"changed":{"services":[` + strings.TrimSuffix(imagesService, "}") +
+		`,"kinds":[{"name":"k0","class":"c",` + first + `},{"name":"k1","class":"c",` + second + `}]}]}`)
+}
+
+// Guards against a stated priority that is lost, and against one that a class gets without having stated
+// it.
+func TestPrioritiesAreDecoded(t *testing.T) {
+	base, err := decodeAndApply(t, nil, firstNote)
+	require.NoError(t, err)
+	for _, c := range []struct {
+		field string
+		want  uint8
+	}{{`"priority":0`, 0}, {`"priority":99`, 99}, {`"priority":null`, model.LowestPriority}, {`"method":"GET"`, model.LowestPriority}} {
+		next, err := decodeAndApply(t, base, priorities(c.field, c.field))
+		require.NoError(t, err)
+		for _, k := range next.ServiceByHost("images.local").Kinds {
+			require.Equal(t, c.want, k.Priority, c.field)
+		}
+	}
+}
+
 // Guards against an invalid note that is applied in whole or in part, and against a
 // refusal whose reason or detail does not say what is wrong with the note.
 func TestInvalidNotesAreRefused(t *testing.T) {
@@ -86,6 +109,10 @@
 		{added(secondServer(`"active"`, `"gone"`)), model.ReasonNoteMalformed, `state of server s2 is "gone"`},
 		{added(secondServer(`127.0.0.1:5102`, `nowhere`)), model.ReasonNoteMalformed, "flow_address of server s2"},
 		{added(secondServer(`"zone":"a"`, `"zone":""`)), model.ReasonNoteMalformed, "zone of server s2"},
+		{priorities(`"priority":0`, `"priority":1`), model.ReasonNoteContradictory, `class "c" two priorities, 0 and 1`},
+		{priorities(`"priority":0`, `"idempotent":true`), model.ReasonNoteContradictory, `class "c" two priorities, 0 and 255 (255: none stated)`},
+		{priorities(`"priority":100`, `"priority":100`), model.ReasonNoteContradictory, "priority of kind k0 is 100, allowed are up to 99"},
+		{priorities(`"priority":-1`, `"priority":-1`), model.ReasonNoteContradictory, "priority of kind k0 is -1"},
 		{secondNote(`"added":{"services":[` + strings.Replace(lineService, `"line"`, `"line2"`, 1) + `]}`), model.ReasonNoteContradictory, "same id 17"},
 		{secondNote(`"added":{"services":[` + strings.NewReplacer("17", "19", `"line"`, `"l2"`, "line.local", "l2").Replace(
 			strings.Replace(lineService, "10.80.0.17", "10.80.0.18", 1)) + `]}`), model.ReasonNoteContradictory, "same virtual address 10.80.0.18:4000"},
--- a/internal/adapter/httpfront/handler.go
+++ b/internal/adapter/httpfront/handler.go
@@ -51,7 +51,7 @@
 		if h.recorder != nil {
 			h.recorder.Count("request", reason)
 		}
-		a.Refuse(outcome, reason)
+		a.Refuse(outcome, reason, 0)
 		return
 	}
 	h.requestServer.Serve(r.Context(), &port.CallerRequest{
@@ -164,11 +164,14 @@
 }
 
 // Refuse implements port.CallerAnswer.
-func (a *answer) Refuse(o model.Outcome, r model.Reason) {
+func (a *answer) Refuse(o model.Outcome, r model.Reason, retryAfter time.Duration) {
 	a.refused = true
 	h := a.w.Header()
 	h.Set(HeaderOutcome, o.String())
 	h.Set(HeaderReason, r.String())
+	if retryAfter > 0 {
+		h.Set("Retry-After", strconv.FormatInt(int64(retryAfter/time.Second), 10))
+	}
 	h.Set("Content-Type", "application/json")
 	body, _ := json.Marshal(map[string]string{"outcome": o.String(), "reason": r.String()})
 	h.Set("Content-Length", strconv.Itoa(len(body)))
--- a/internal/core/capacity/pool.go
+++ b/internal/core/capacity/pool.go
@@ -63,12 +63,19 @@
 	meanHold   float64
 	classes    map[string]*classUsage
 	classNames []string // sorted, so that results do not depend on map order
+	// prioritized is set if two kinds of the service differ in their priority.
+	prioritized bool
+	grants      uint64 // slots that were acquired so far
 }
 
 type classUsage struct {
-	share   int // guaranteed share of the slots, in percent
-	inUse   int // slots in use by requests of the class
-	waiting int // requests of the class that wait for a slot
+	share int // guaranteed share of the slots, in percent
+	// priority is that of the kinds of the class; 0 is the most urgent.
+	priority uint8
+	// lastGrant is the value of servicePool.grants when the class last acquired a slot.
+	lastGrant uint64
+	inUse     int // slots in use by requests of the class
+	waiting   int // requests of the class that wait for a slot
 	// peak and previousPeak are the highest numbers of slots in use plus waiting
 	// requests in the current and in the last window.
 	peak, previousPeak int
@@ -138,6 +145,8 @@
 	slot, _ := best.freeSlot()
 	best.usage.slotsInUse = append(best.usage.slotsInUse, slot)
 	c.inUse++
+	s.grants++
+	c.lastGrant = s.grants
 	c.updatePeak(now)
 	return Allocation{Service: service, Class: class, Server: best.ID, Slot: slot, Since: now}, true
 }
@@ -163,19 +172,19 @@
 }
 
 // NextClass returns the class whose waiting requests are served next: the one with
-// the fewest slots in use relative to its share. Classes for which skip returns
+// the fewest slots in use relative to its share. If priorities differ, a class with a claim by
+// its share comes first, and then the most urgent one. Classes for which skip returns
 // true are left out. It reports false if no class remains.
 func (p *Pool) NextClass(service model.ServiceID, skip func(class string) bool) (string, bool) {
 	s := p.service(service)
-	best, bestScore := "", 0.0
+	best, bestRank := "", rank{}
 	for _, name := range s.classNames {
 		c := s.classes[name]
 		if c.waiting <= 0 || skip(name) {
 			continue
 		}
-		score := float64(c.inUse+1) / float64(max(c.share, 1))
-		if best == "" || score < bestScore {
-			best, bestScore = name, score
+		if r := s.rank(c); best == "" || r.before(bestRank) {
+			best, bestRank = name, r
 		}
 	}
 	return best, best != ""
@@ -249,12 +258,14 @@
 			s.totalSlots += min(server.SlotLimit, len(server.Slots))
 		}
 	}
+	s.prioritized = false
 	for _, c := range s.classes {
-		c.share = 0
+		c.share, c.priority = 0, model.LowestPriority
 	}
 	for i := range svc.Kinds {
 		c := s.class(svc.Kinds[i].Class)
-		c.share = max(c.share, int(svc.Kinds[i].Share))
+		c.share, c.priority = max(c.share, int(svc.Kinds[i].Share)), svc.Kinds[i].Priority
+		s.prioritized = s.prioritized || c.priority != svc.Kinds[0].Priority
 	}
 	return s
 }
@@ -262,7 +273,7 @@
 func (s *servicePool) class(name string) *classUsage {
 	c := s.classes[name]
 	if c == nil {
-		c = &classUsage{}
+		c = &classUsage{priority: model.LowestPriority}
 		s.classes[name] = c
 		i, _ := slices.BinarySearch(s.classNames, name)
 		s.classNames = slices.Insert(s.classNames, i, name)
--- a/internal/core/model/model.go
+++ b/internal/core/model/model.go
@@ -111,6 +111,9 @@
 	// Share is the part of the service's slots that is guaranteed to Class, in
 	// percent. It is the same for all kinds of a class.
 	Share uint8
+	// Priority orders the classes of a service while its slots are short; 0 is the most urgent,
+	// LowestPriority means that none is stated. It is the same for all kinds of a class.
+	Priority uint8
 }
 
 // Service is a set of backend servers behind one virtual address and host name.
--- a/internal/core/note/apply.go
+++ b/internal/core/note/apply.go
@@ -342,6 +342,10 @@
 				h.text(t)
 			}
 			h.number(uint64(k.Share))
+			if k.Priority != model.LowestPriority {
+				// Left out otherwise, so that instances of versions without priorities agree.
+				h.number(uint64(k.Priority) + 2)
+			}
 			if k.Idempotent {
 				h.number(1)
 			} else {
--- a/internal/core/note/check.go
+++ b/internal/core/note/check.go
@@ -73,7 +73,7 @@
 	if len(s.Kinds) > MaxKinds {
 		return contradiction("service %s has %d kinds, allowed are %d", s.Name, len(s.Kinds), MaxKinds)
 	}
-	names, shares, sum := map[string]bool{}, map[string]uint8{}, 0
+	names, shares, priorities, sum := map[string]bool{}, map[string]uint8{}, map[string]uint8{}, 0
 	for _, k := range s.Kinds {
 		if r := checkName("kind name of service "+s.Name, k.Name); r != nil {
 			return r
@@ -88,6 +88,13 @@
 			shares[k.Class] = k.Share
 			sum += int(k.Share)
 		}
+		if k.Priority > model.MaxStatedPriority && k.Priority != model.LowestPriority {
+			return contradiction("service %s has kind %s with priority %d, allowed are 0 to %d", s.Name, k.Name, k.Priority, model.MaxStatedPriority)
+		}
+		if priority, seen := priorities[k.Class]; seen && priority != k.Priority {
+			return contradiction("service %s gives class %q two priorities, %d and %d (%d: none stated)", s.Name, k.Class, priority, k.Priority, model.LowestPriority)
+		}
+		priorities[k.Class] = k.Priority
 	}
 	if sum > 100 {
 		return contradiction("service %s guarantees %d percent of its slots", s.Name, sum)
--- a/internal/core/request/lifecycle.go
+++ b/internal/core/request/lifecycle.go
@@ -2,6 +2,7 @@
 
 import (
 	"strings"
+	"time"
 
 	"github.com/savorytiller/savorytiller/internal/core/capacity"
 	"github.com/savorytiller/savorytiller/internal/core/model"
@@ -55,6 +56,8 @@
 	acquires       int // Acquire calls since the request was queued
 	queued         bool
 	askedInstances []model.InstanceID
+	// retryAfter is Finish.RetryAfter.
+	retryAfter time.Duration
 	// mayHaveRun is set once it is unknown whether a dispatch of an idempotent
 	// request ran.
 	mayHaveRun bool
@@ -135,8 +138,8 @@
 // of the configuration. Methods that RFC 9110, section 9.2.2, defines as idempotent
 // are treated as such; requests with any other method run at most once.
 var (
-	otherIdempotent    = &model.RequestKind{Name: "other", Idempotent: true, Class: "other"}
-	otherNonIdempotent = &model.RequestKind{Name: "other", Class: "other"}
+	otherIdempotent    = &model.RequestKind{Name: "other", Idempotent: true, Class: "other", Priority: model.LowestPriority}
+	otherNonIdempotent = &model.RequestKind{Name: "other", Class: "other", Priority: model.LowestPriority}
 )
 
 // kindOf returns the first kind of the service that matches the request.
@@ -173,7 +176,7 @@
 		e.dispatchOrQueue(p)
 		return
 	}
-	if e.queue(p.service.ID).full(p.kind.Class, e.settings.QueueLength) {
+	if e.queue(p.service.ID).full(p.kind.Class, e.settings.QueueLength) || e.comesTooLate(p) {
 		e.refuse(p, model.ReasonOverloaded)
 		return
 	}
@@ -268,13 +271,18 @@
 	if p.mayHaveRun {
 		outcome = model.OutcomeUnknown
 	}
+	if reason == model.ReasonOverloaded {
+		if wait, ok := e.expectedWait(p); ok {
+			p.retryAfter = retryAfter(wait)
+		}
+	}
 	e.report(p, StateNotRun, nil)
 	e.finish(p, outcome, reason, nil)
 }
 
 func (e *Engine) finish(p *pending, o model.Outcome, r model.Reason, a *StoredAnswer) {
 	delete(e.requests, p.id)
-	f := Finish{ID: p.id, Outcome: o, Reason: r, Answer: a}
+	f := Finish{ID: p.id, Outcome: o, Reason: r, Answer: a, RetryAfter: p.retryAfter}
 	if p.service != nil && p.kind != nil {
 		f.Tenant, f.Class = p.service.Tenant, p.kind.Class
 		if p.length != 0 {
--- a/internal/core/request/property_test.go
+++ b/internal/core/request/property_test.go
@@ -271,6 +271,7 @@
 		zones := []model.Zone{"halle-a", "halle-b"}
 		s := newSim(rapid.Uint64().Draw(t, "seed"), simConfig(zones, 2, 2), zones, rapid.IntRange(1, 3).Draw(t, "perZone"))
 		s.settings.ResponseTimeout = 150 * time.Millisecond
+		s.config.Services[0].Kinds[0].Priority = rapid.SampledFrom([]uint8{0, 1}).Draw(t, "priority")
 		c := newCallers(s)
 		scheduleFaults(t, s, c)
 		s.start()
--- a/internal/core/request/slots.go
+++ b/internal/core/request/slots.go
@@ -15,8 +15,12 @@
 	admitting map[string]int
 	// pendingAcquires counts the Acquire calls in progress.
 	pendingAcquires int
+	// parked are the Acquire calls of other instances that wait for a slot of this one.
+	parked []parkedAcquire
 	// backoffUntil is the time until which an instance is not asked for a slot.
 	backoffUntil map[model.InstanceID]model.Time
+	// drains measures how fast the waiting requests of each class get slots.
+	drains map[string]*drain
 	// holders are the instances that hold slots of the service in holdersView.
 	holders     []holder
 	holdersView *view.View
@@ -41,7 +45,7 @@
 func (e *Engine) queue(service model.ServiceID) *queue {
 	q := e.queues[service]
 	if q == nil {
-		q = &queue{waiting: map[string][]*pending{}, admitting: map[string]int{}, backoffUntil: map[model.InstanceID]model.Time{}}
+		q = &queue{waiting: map[string][]*pending{}, admitting: map[string]int{}, drains: map[string]*drain{}, backoffUntil: map[model.InstanceID]model.Time{}}
 		e.queues[service] = q
 	}
 	return q
@@ -56,7 +60,7 @@
 		e.dispatch(p)
 		return
 	}
-	if q.full(p.kind.Class, e.settings.QueueLength) {
+	if q.full(p.kind.Class, e.settings.QueueLength) || e.comesTooLate(p) {
 		e.refuseWithoutSlot(p)
 		return
 	}
@@ -64,6 +68,9 @@
 	p.askedInstances = p.askedInstances[:0]
 	q.waiting[p.kind.Class] = append(q.waiting[p.kind.Class], p)
 	q.size++
+	if len(q.waiting[p.kind.Class]) == 1 {
+		q.drain(p.kind.Class).start(e.now)
+	}
 	e.pool.AddWaiting(e.now, p.service.ID, p.kind.Class, 1)
 	e.startTimer(timer{at: e.now.Add(e.settings.QueueWait), kind: timerQueue, id: p.id, serial: p.serial})
 	e.acquireRemote(p)
@@ -87,23 +94,30 @@
 // selects the class to serve next by the shares of the classes.
 func (e *Engine) serveQueue(service model.ServiceID) {
 	q := e.queues[service]
-	if q == nil || q.size == 0 {
+	if q == nil {
 		return
 	}
 	var blocked []string
-	for q.size > 0 {
+	for q.size+len(q.parked) > 0 {
 		class, ok := e.pool.NextClass(service, func(c string) bool {
-			return slices.Contains(blocked, c) || len(q.waiting[c]) == 0
+			return slices.Contains(blocked, c) || len(q.waiting[c]) == 0 && q.parkedIndex(c) < 0
 		})
 		if !ok {
 			return
 		}
+		if len(q.waiting[class]) == 0 {
+			if !e.lendToParked(q, class) {
+				blocked = append(blocked, class)
+			}
+			continue
+		}
 		p := q.waiting[class][0]
 		if !e.acquireLocal(p) {
 			blocked = append(blocked, class)
 			continue
 		}
 		e.dequeue(p)
+		q.drain(class).granted(e.now)
 		e.dispatch(p)
 	}
 }
@@ -147,7 +161,7 @@
 // reached.
 func (e *Engine) acquireRemote(p *pending) {
 	q := e.queue(p.service.ID)
-	if _, asking := e.acquiring[p.id]; asking || p.acquires >= maxAcquiresPerRequest || q.pendingAcquires >= maxPendingAcquires || !e.view.Fresh(e.now) {
+	if _, asking := e.acquiring[p.id]; asking || p.acquires >= e.maxAcquires(p) || q.pendingAcquires >= maxPendingAcquires || !e.view.Fresh(e.now) {
 		return
 	}
 	to := e.chooseHolder(q, p)
@@ -166,9 +180,7 @@
 // chooseHolder selects a random instance, weighted by the slots that it holds, or nil if
 // none can be asked. It prefers instances in this instance's zone.
 func (e *Engine) chooseHolder(q *queue, p *pending) *model.Member {
-	if q.holdersView != e.view {
-		q.holders, q.holdersView = holders(e.view, p.service), e.view
-	}
+	q.updateHolders(e.view, p.service)
 	for _, sameZone := range []bool{true, false} {
 		total := 0
 		for i := range q.holders {
@@ -193,6 +205,13 @@
 	return nil
 }
 
+// updateHolders updates the holders if the view has changed.
+func (q *queue) updateHolders(v *view.View, service *model.Service) {
+	if q.holdersView != v {
+		q.holders, q.holdersView = holders(v, service), v
+	}
+}
+
 // canAsk reports whether an instance may be asked for a slot for the request.
 func (e *Engine) canAsk(q *queue, p *pending, h *holder, sameZone bool) bool {
 	return h.sameZone == sameZone && !q.backoffUntil[h.member.ID].After(e.now) && !slices.Contains(p.askedInstances, h.member.ID)
@@ -237,7 +256,8 @@
 	p := e.requests[ev.ID]
 	lender := e.member(ev.From)
 	server, usable := e.borrowedServer(ev.Grant.Server)
-	if service, ok := e.acquiring[ev.ID]; ok {
+	service, ok := e.acquiring[ev.ID]
+	if ok {
 		delete(e.acquiring, ev.ID)
 		q := e.queue(service)
 		q.pendingAcquires--
@@ -253,6 +273,9 @@
 		if p != nil && p.queued {
 			e.acquireRemote(p)
 		}
+		if ok {
+			e.acquireForUrgent(service)
+		}
 		return
 	}
 	if lender == nil {
@@ -263,8 +286,12 @@
 		return
 	}
 	e.dequeue(p)
+	e.queue(p.service.ID).drain(p.kind.Class).granted(e.now)
 	p.slot = slotInUse{lender: lender, lease: ev.Lease, server: server}
 	e.dispatch(p)
+	if ok {
+		e.acquireForUrgent(service)
+	}
 }
 
 // borrowedServer returns the server of a borrowed slot and reports whether this
@@ -294,7 +321,7 @@
 }
 
 // peerAcquire lends a free slot to another instance if no request of this instance
-// waits for one.
+// waits for one. If only less urgent requests wait, the call waits beside them.
 func (e *Engine) peerAcquire(ev PeerAcquire) {
 	key := leaseKey{ev.From, ev.Msg.Lease}
 	if l := e.leases[key]; l != nil { // duplicate message
@@ -302,24 +329,36 @@
 		return
 	}
 	q := e.queues[ev.Msg.Service]
-	if !e.view.Ready() || !e.view.Fresh(e.now) || ev.Msg.Deadline <= 0 || q != nil && q.size > 0 {
+	if !e.view.Ready() || !e.view.Fresh(e.now) || ev.Msg.Deadline <= 0 {
 		e.emit(ReplyAcquire{Call: ev.Call})
 		return
 	}
-	alloc, ok := e.pool.Acquire(e.now, ev.Msg.Service, ev.Msg.Class, nil)
-	if !ok {
-		e.emit(ReplyAcquire{Call: ev.Call})
+	if q != nil && q.size > 0 {
+		e.parkOrReject(q, ev)
 		return
 	}
+	if !e.lend(ev.Call, key, &ev.Msg) {
+		e.emit(ReplyAcquire{Call: ev.Call})
+	}
+}
+
+// lend lends a free slot to another instance and reports whether there was one.
+func (e *Engine) lend(call CallID, key leaseKey, msg *Acquire) bool {
+	alloc, ok := e.pool.Acquire(e.now, msg.Service, msg.Class, nil)
+	if !ok {
+		return false
+	}
 	e.leases[key] = &lease{allocation: alloc}
-	e.startTimer(timer{at: e.now.Add(ev.Msg.Deadline + LeaseMargin), kind: timerLease, lease: key})
-	e.emit(ReplyAcquire{Call: ev.Call, Msg: Grant{Server: alloc.Server, Slot: alloc.Slot}})
+	e.startTimer(timer{at: e.now.Add(msg.Deadline + LeaseMargin), kind: timerLease, lease: key})
+	e.emit(ReplyAcquire{Call: call, Msg: Grant{Server: alloc.Server, Slot: alloc.Slot}})
+	return true
 }
 
 func (e *Engine) peerRelease(ev PeerRelease) {
 	key := leaseKey{ev.From, ev.Msg.Lease}
 	l := e.leases[key]
 	if l == nil {
+		e.unpark(key) // the other instance no longer waits
 		return
 	}
 	if ev.Msg.Observed {
--- a/internal/core/request/timers.go
+++ b/internal/core/request/timers.go
@@ -13,6 +13,7 @@
 	timerDeadline
 	timerLease
 	timerParked
+	timerParkedAcquire
 )
 
 type timer struct {
@@ -64,6 +65,8 @@
 			e.deadlinePassed(t.id)
 		case timerLease:
 			e.endLease(t.lease)
+		case timerParkedAcquire:
+			e.rejectParked(t.lease)
 		case timerParked:
 			e.replyToParked(e.dedup.expireParked(e.now, t.key))
 		}
--- a/internal/core/request/types.go
+++ b/internal/core/request/types.go
@@ -333,6 +333,9 @@
 		Outcome model.Outcome
 		Reason  model.Reason
 		Answer  *StoredAnswer
+		// RetryAfter is when the caller of a refused request should try again, in whole
+		// seconds; 0 if that is not known.
+		RetryAfter time.Duration
 		// Tenant and Class label the metrics of the request.
 		Tenant, Class string
 	}
--- a/internal/port/request.go
+++ b/internal/port/request.go
@@ -40,8 +40,9 @@
 
 // CallerAnswer sends the answer to a request to its caller, once per request.
 type CallerAnswer interface {
-	// Refuse answers with the outcome and the reason, without a server's answer.
-	Refuse(outcome model.Outcome, reason model.Reason)
+	// Refuse answers with the outcome and the reason, without a server's answer. retryAfter is
+	// the delay after which the caller should try again, in whole seconds; 0 for none.
+	Refuse(outcome model.Outcome, reason model.Reason, retryAfter time.Duration)
 	// Forward sends a server's answer. Length is in bytes, -1 if unknown. If
 	// reading the body fails, Forward aborts the caller's connection and returns
 	// the error, so that the caller never takes a truncated answer for a complete
--- a/internal/traffic/requests/serve.go
+++ b/internal/traffic/requests/serve.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"strconv"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -35,7 +36,7 @@
 		actions: make(chan request.Action, maxActions), started: w.options.Clock.Now(),
 	}
 	if !w.tryPost(queuedEvent{ev: request.Arrived{ID: h.id, Req: req.Incoming}, actions: h.actions}) {
-		h.refuse(refusedOutcome(req.Incoming), model.ReasonQueueFull)
+		h.refuse(refusedOutcome(req.Incoming), model.ReasonQueueFull, 0)
 		return
 	}
 	h.run(ctx)
@@ -103,12 +104,12 @@
 // request.
 func (h *handler) workerStopped() {
 	if !h.forwarded {
-		h.refuse(model.OutcomeUnknown, model.ReasonShuttingDown)
+		h.refuse(model.OutcomeUnknown, model.ReasonShuttingDown, 0)
 	}
 }
 
-func (h *handler) refuse(o model.Outcome, r model.Reason) {
-	h.answer.Refuse(o, r)
+func (h *handler) refuse(o model.Outcome, r model.Reason, retryAfter time.Duration) {
+	h.answer.Refuse(o, r, retryAfter)
 	h.w.record(r, h.req.Incoming.Host, o.String())
 }
 
@@ -128,7 +129,7 @@
 		_ = h.answer.Forward(h.buffered.status, h.buffered.header, int64(len(h.buffered.body)), bytes.NewReader(h.buffered.body))
 		h.w.record(f.Reason, h.req.Incoming.Host, f.Outcome.String())
 	default:
-		h.refuse(f.Outcome, f.Reason)
+		h.refuse(f.Outcome, f.Reason, f.RetryAfter)
 	}
 }
 
