--- a/internal/control/registry/peers.go
+++ b/internal/control/registry/peers.go
@@ -388,6 +388,7 @@
 		m.receiveLoad(message)
 	}
 	m.receiveReport(message)
+	m.receiveRecoveries(message)
 	m.comparePosition(message)
 }
 
