admission: a short zone counts no more slots than it uses

Cause: with servers that are listed and do not respond, the queue depths counted their slots too. Change: in a short zone the limit assumes as many slots as requests are completed in the base latency.

--- a/internal/core/admission/burst_test.go
+++ b/internal/core/admission/burst_test.go
@@ -88,6 +88,20 @@
 	}
 }
 
+// Load: three times the capacity while 7 of 15 servers do not respond. Guards against limits for
+// slots that are listed and do not work, with which the other servers reject a fifth of arrivals.
+func TestBurstWhileServersAreDown(t *testing.T) {
+	w := newWorld(1, enabled, time.Minute)
+	w.working = 8
+	w.run(mix(0.05, 0.2), mix(0.36, 1.24))
+	u, working := w.outcomes[2], float64(w.working)/zoneServers
+	credit, most := total(w, 2), best(0.36/working, 1.24/working)
+	t.Logf("urgent %.3f, all %.3f of %.3f, rejected %.3f, after the first second %.3f", u.credit(), credit, most, w.rejected/w.arrivals, w.rejectedLater/w.arrivals)
+	require.GreaterOrEqual(t, u.inGoal/u.requests, 0.97)
+	require.GreaterOrEqual(t, credit, most-0.03)
+	require.Less(t, w.rejectedLater/w.arrivals, 0.05)
+}
+
 // Load: three times the capacity, while views are over a second late. Guards against limits that
 // swing with the delay of the reports.
 func TestBurstWithLateViews(t *testing.T) {
--- a/internal/core/admission/model_test.go
+++ b/internal/core/admission/model_test.go
@@ -54,6 +54,9 @@
 	classes   Classes
 	from, to  model.Time // measured time
 	viewDelay time.Duration
+	// working is the number of servers of a zone that respond. The others get no flows, but the view
+	// still counts their slots.
+	working   int
 	instances [modelZones][zoneInstances]*instance
 	servers   [modelZones][zoneServers]*server
 	view      *room.View
@@ -129,7 +132,7 @@
 
 // newWorld returns a model whose requests are measured from 5 s on, for the given time.
 func newWorld(seed uint64, settings Settings, measured time.Duration) *world {
-	w := &world{random: rand.New(rand.NewPCG(seed, 1)), from: model.Time(5 * time.Second), verdicts: map[model.Reason]int{}, viewDelay: defaultViewDelay}
+	w := &world{random: rand.New(rand.NewPCG(seed, 1)), from: model.Time(5 * time.Second), verdicts: map[model.Reason]int{}, viewDelay: defaultViewDelay, working: zoneServers}
 	w.to = w.from.Add(measured)
 	for z := range modelZones {
 		w.zones[z].completedBy, w.zones[z].inProgressBy = map[uint8]int{}, map[uint8]int{}
@@ -224,7 +227,7 @@
 func (w *world) choose(at *instance, zone int) *server {
 	var best *server
 	for range 2 {
-		s := w.servers[zone][w.random.IntN(zoneServers)]
+		s := w.servers[zone][w.random.IntN(w.working)]
 		if best == nil || s.seen+2*at.atServer[s] < best.seen+2*at.atServer[best] {
 			best = s
 		}
--- a/internal/core/admission/service.go
+++ b/internal/core/admission/service.go
@@ -64,7 +64,7 @@
 	case inProgress > threshold:
 		z.short = true
 	}
-	limit := limit(load, base, leastUrgentDepth)
+	limit := limit(load, base, leastUrgentDepth, z.short)
 	if z.limit == 0 {
 		z.limit = limit
 	}
@@ -79,10 +79,15 @@
 // limit returns the number of requests that may be in progress in a zone: those that keep its
 // servers busy, and depth queued ones for each slot. Servers are busy with the requests that they
 // complete in the base latency, which includes the way to the caller, but at least with one for
-// each slot. Without that minimum a zone that has completed little would stay limited to little.
-func limit(z *room.Zone, base time.Duration, depth float64) float64 {
-	slots := float64(z.Slots)
-	return max(z.Total.Completed*base.Seconds(), slots) + slots*depth
+// each slot. Slots of servers that do not respond complete nothing, so in a short zone no more slots
+// are assumed than requests are completed, but at least half of them: a zone that completed
+// little for another reason would otherwise stay limited to little.
+func limit(z *room.Zone, base time.Duration, depth float64, short bool) float64 {
+	busy, slots := z.Total.Completed*base.Seconds(), float64(z.Slots)
+	if short {
+		slots = min(slots, max(busy, slots/2))
+	}
+	return max(busy, slots) + slots*depth
 }
 
 // depthOf returns the depth of the queue for a flow in a zone. It is bounded by the requests that
@@ -116,7 +121,8 @@
 	if z == nil || z.Slots == 0 {
 		return 0
 	}
-	return limit(z, load.BaseLatency, depthOf(z, load.BaseLatency, f)) * k.zones[zone].scale
+	state := k.zones[zone]
+	return limit(z, load.BaseLatency, depthOf(z, load.BaseLatency, f), state.short) * state.scale
 }
 
 // share returns this instance's part of a limit for a class of flows that has the given number of
