--- a/internal/traffic/packets/worker.go
+++ b/internal/traffic/packets/worker.go
@@ -23,6 +23,8 @@
 	part          = "flow"
 	partReset     = "flow_reset"
 	partAdmission = "admission"
+	// partOpen counts the connections that new flows open at servers, by cause.
+	partOpen = "flow_open"
 )
 
 // bufferSize holds the headroom of the codec and the largest datagram that is received
@@ -111,6 +113,9 @@
 	}
 	switch decision.Action {
 	case steering.Deliver:
+		if decision.NewFlow {
+			o.Recorder.Count(partOpen, openingCause(&decision, p))
+		}
 		w.send(decision.Server.Address, o.Codec.Encapsulate(buffer, decision.Server, decision.Server.Token))
 	case steering.Reset:
 		o.Recorder.Count(partReset, decision.Reason)
@@ -135,6 +140,20 @@
 	w.resetLostFlows(snapshot, now)
 }
 
+// openingCause returns why a SYN is sent to the server of a decision: for a new flow, as a copy
+// of one that another server may have received, or as a trial of a server that a probe did not
+// reach.
+func openingCause(decision *steering.Decision, p *steering.Packet) model.Reason {
+	switch server := decision.Server; {
+	case server.ProbeFailed() || server.ProbingSince != 0:
+		return model.ReasonTrial
+	case p.Retransmissions > 0 || decision.Reason == model.ReasonAlternative:
+		return model.ReasonAlternative
+	default:
+		return model.ReasonLeastLoad
+	}
+}
+
 // logShortage writes a line about a service that is short of capacity, with the inputs of the
 // latest verdict.
 func (w *Worker) logShortage(r *steering.Shortage) {
