--- a/internal/control/registry/load.go
+++ b/internal/control/registry/load.go
@@ -118,7 +118,7 @@
 	}
 	fleet := l.sum.Fleet(m.now, sum)
 	if !fleet.Loaded() {
-		return // the view expires, and then the other instances stop to send as well
+		return // the view expires, and then the other instances stop sending as well
 	}
 	fleet.Sequence = l.sequence
 	every := max(1, (zoneLoadInterval+interval-1)/interval)
