--- a/internal/core/room/types.go
+++ b/internal/core/room/types.go
@@ -59,7 +59,7 @@
 	// Samples is the number of answers, Failed those that were much shorter than usual.
 	Samples, Failed float64
 	// LogLatency is the sum, over the samples that did not fail, of the logarithm of the response
-	// time relative to the usual one of the same route.
+	// time relative to the usual one of the same route. Both are without the time on the network.
 	LogLatency float64
 	// UpdatedAt is when the load was last observed or received.
 	UpdatedAt model.Time
