Operators: why a server gets no flows, and the candidates of placement

Cause: placement measures servers and restricts those that fail, which the status did not show; the traffic goroutine owns this state.

Change: /status, room and beliefs have own flows and the restriction of each server, from Steerer.ServerStatus, which the traffic goroutine runs like a preview. where shows what the decision uses of the load.

--- a/internal/adapter/operatorcli/beliefs.go
+++ b/internal/adapter/operatorcli/beliefs.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"slices"
 	"time"
 
 	"github.com/savorytiller/savorytiller/internal/adapter/steerstatus"
@@ -33,14 +34,14 @@
 			x := &s.UnusableEntries[i]
 			fmt.Fprintf(w, "  unusable entry %s, revision %d, seen %v ago: %s\n", x.Key, x.Revision, time.Duration(x.SeenMsAgo)*time.Millisecond, x.Reason)
 		}
-		t := newTable(w, "SERVER", "SERVICE", "ZONE", "ADDRESS", "STATE", "LAST PROBE", "SLOTS", "IN PROGRESS", "RELATIVE TIME", "FAILED", "SAMPLES", "LOAD AGE")
+		t := newTable(w, "SERVER", "SERVICE", "ZONE", "ADDRESS", "STATE", "LAST PROBE", "SLOTS", "IN PROGRESS", "RELATIVE TIME", "FAILED", "SAMPLES", "LOAD AGE", "FLOWS HERE", "RESTRICTION")
 		for i := range s.Servers {
 			x := &s.Servers[i]
 			probed := "never probed"
 			if x.ProbedMsAgo >= 0 {
 				probed = "probed " + formatAgo(x.ProbedMsAgo)
 			}
-			t.row(append([]any{x.ID, x.Service, x.Zone, x.Address, x.State, probed, x.Slots}, loadColumns(x.Load)...)...)
+			t.row(slices.Concat([]any{x.ID, x.Service, x.Zone, x.Address, x.State, probed, x.Slots}, loadColumns(x.Load), trafficColumns(x.Traffic))...)
 		}
 		t.flush()
 		printCut(w, "servers", len(s.Servers), s.ServersTotal)
--- a/internal/adapter/operatorcli/room.go
+++ b/internal/adapter/operatorcli/room.go
@@ -88,11 +88,11 @@
 	printCut(w, "services and zones", len(v.Load.Zones), v.Load.ZonesTotal)
 	fmt.Fprintln(w)
 
-	t = newTable(w, "SERVER", "SERVICE", "ZONE", "STATE", "SLOTS", "IN PROGRESS", "RELATIVE TIME", "FAILED", "SAMPLES", "LOAD AGE")
+	t = newTable(w, "SERVER", "SERVICE", "ZONE", "STATE", "SLOTS", "IN PROGRESS", "RELATIVE TIME", "FAILED", "SAMPLES", "LOAD AGE", "FLOWS HERE", "RESTRICTION")
 	shown := v.Servers[:min(len(v.Servers), limit)]
 	for i := range shown {
 		x := &shown[i]
-		t.row(append([]any{x.ID, x.Service, x.Zone, x.State, x.Slots}, loadColumns(x.Load)...)...)
+		t.row(slices.Concat([]any{x.ID, x.Service, x.Zone, x.State, x.Slots}, loadColumns(x.Load), trafficColumns(x.Traffic))...)
 	}
 	t.flush()
 	printCut(w, "servers", len(shown), v.ServersTotal)
@@ -119,7 +119,23 @@
 	if l.RelativeLatency > 0 {
 		relative = fmt.Sprintf("%.2f", l.RelativeLatency)
 	}
-	return []any{formatTenth(l.InProgress), relative, failed, formatTenth(l.Samples), formatMillis(l.AgeMs)}
+	return []any{formatTenth(l.InProgress), relative, failed, formatTenth(l.Samples), formatAge(l.AgeMs)}
+}
+
+// trafficColumns returns the columns FLOWS HERE and RESTRICTION.
+func trafficColumns(x *steerstatus.ServerTraffic) []any {
+	if x == nil {
+		return []any{"-", "-"}
+	}
+	return []any{x.Flows, x.Restriction}
+}
+
+// formatAge formats an age in milliseconds; -1 means that it is not known.
+func formatAge(milliseconds int64) string {
+	if milliseconds < 0 {
+		return "-"
+	}
+	return formatMillis(milliseconds)
 }
 
 // printCut states that a list does not hold all entries.
--- a/internal/adapter/operatorcli/where.go
+++ b/internal/adapter/operatorcli/where.go
@@ -71,7 +71,7 @@
 	}
 	fmt.Fprintln(w)
 	t := newTable(w, "", "SERVER", "ZONE", "STATE", "CLASS", "SCORE", "FLOWS", "BUSY", "SLOTS", "PROBE", "RESPONSE SEEN", "TIMEOUTS",
-		"IN PROGRESS", "RELATIVE TIME", "FAILED", "SAMPLES", "LOAD AGE")
+		"IN PROGRESS", "RELATIVE TIME", "FAILED", "SAMPLES", "LOAD AGE", "RESTRICTION")
 	for i := range a.Candidates {
 		x := &a.Candidates[i]
 		mark := ""
@@ -85,8 +85,8 @@
 		if x.ProbedMsAgo >= 0 {
 			probe = x.Probe + " " + formatAgo(x.ProbedMsAgo)
 		}
-		t.row(append([]any{mark, x.ID, x.Zone, x.State, x.Class, fmt.Sprintf("%.3f", x.Score), x.Flows, x.Busy, x.Slots, probe,
-			formatAgo(x.RespondedMsAgo), x.Timeouts}, loadColumns(x.Load)...)...)
+		t.row(slices.Concat([]any{mark, x.ID, x.Zone, x.State, x.Class, fmt.Sprintf("%.3f", x.Score), x.Flows, x.Busy, x.Slots, probe,
+			formatAgo(x.RespondedMsAgo), x.Timeouts}, loadColumns(x.Load), []any{x.Restriction})...)
 	}
 	t.flush()
 	printCut(w, "considered servers", len(a.Candidates), a.Considered)
--- a/internal/adapter/steerstatus/status.go
+++ b/internal/adapter/steerstatus/status.go
@@ -29,6 +29,9 @@
 const (
 	headerTimeout   = 2 * time.Second
 	responseTimeout = 5 * time.Second
+	// trafficTimeout limits the wait for the traffic goroutine. It answers between two packets
+	// unless it has no processor time.
+	trafficTimeout = time.Second
 )
 
 // Status is an instance's view of the configuration and of the backend servers.
@@ -96,6 +99,25 @@
 	Slots       int    `json:"slots"`
 	// Load is nil if nothing is known of it.
 	Load *ServerLoad `json:"load,omitempty"`
+	// Traffic is nil if the traffic goroutine did not state it, which it does for up to 1,000
+	// servers.
+	Traffic *ServerTraffic `json:"traffic,omitempty"`
+}
+
+// ServerTraffic is what the traffic goroutine of the instance knows of a server.
+type ServerTraffic struct {
+	// Flows and Busy count the open flows through this instance and, of these, the ones with a
+	// request in progress.
+	Flows int `json:"flows"`
+	Busy  int `json:"busy"`
+	// RelativeTime is the expected response time relative to the usual one, as decisions use it: 1
+	// with too few samples. Samples is the number of answers of the last 30 s, with a weight that
+	// decays with their age, and FailedShare the share of failed ones.
+	RelativeTime float64 `json:"relative_time"`
+	Samples      float64 `json:"samples"`
+	FailedShare  float64 `json:"failed_share"`
+	// Restriction is why the server gets no new flows or few; none otherwise.
+	Restriction string `json:"restriction"`
 }
 
 // Source provides the data of the endpoints. Its functions must be safe for concurrent
@@ -110,6 +132,8 @@
 	// Gauges returns additional gauges by name. It must return a new map each time,
 	// because the endpoint adds its own gauges to it.
 	Gauges func() map[string]float64
+	// ServerStatus returns what the traffic goroutine knows of the servers. It is optional.
+	ServerStatus func(context.Context) ([]steering.ServerStatus, error)
 	// Preview returns the decision that a SYN would get now.
 	Preview func(context.Context, *steering.Packet) (*steering.Preview, error)
 }
@@ -122,6 +146,7 @@
 		query := r.URL.Query()
 		status := s.status(Filter{Service: query.Get("service"), Zone: query.Get("zone")})
 		status.Servers = limitServers(status.Servers)
+		s.addTraffic(r.Context(), status.Servers)
 		respond(w, http.StatusOK, status)
 	})
 	mux.HandleFunc("GET "+WherePath, s.serveWhere)
@@ -158,6 +183,29 @@
 	return out
 }
 
+// addTraffic adds what the traffic goroutine knows of the servers, if it answers in time.
+func (s *Source) addTraffic(ctx context.Context, servers []Server) {
+	if s.ServerStatus == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, trafficTimeout)
+	defer cancel()
+	all, err := s.ServerStatus(ctx)
+	if err != nil {
+		return // the status without it is useful, especially then
+	}
+	byToken := make(map[steering.Token]*steering.ServerStatus, len(all))
+	for i := range all {
+		byToken[all[i].Token] = &all[i]
+	}
+	for i := range servers {
+		if x := byToken[steering.Token(servers[i].Token)]; x != nil && string(x.ID) == servers[i].ID {
+			servers[i].Traffic = &ServerTraffic{Flows: x.Flows, Busy: x.Busy, RelativeTime: round(x.RelativeTime), Samples: round(x.Samples),
+				FailedShare: round(x.FailedShare), Restriction: x.Restriction.String()}
+		}
+	}
+}
+
 func serverState(s *steering.Server, v *steering.Snapshot, now model.Time) string {
 	held, _ := s.Held(now)
 	switch {
--- a/internal/adapter/steerstatus/where.go
+++ b/internal/adapter/steerstatus/where.go
@@ -6,17 +6,12 @@
 	"errors"
 	"net/http"
 	"net/netip"
-	"time"
 
 	"github.com/savorytiller/savorytiller/internal/core/model"
 	"github.com/savorytiller/savorytiller/internal/core/steering"
 	"github.com/savorytiller/savorytiller/internal/port"
 )
 
-// previewTimeout limits the wait for the traffic goroutine. It answers within a packet's time
-// unless it has no processor time.
-const previewTimeout = time.Second
-
 // Where is where a new flow would go now, and why.
 type Where struct {
 	Instance string `json:"instance"`
@@ -89,7 +84,9 @@
 	ProbedMsAgo    int64  `json:"probed_ms_ago"`
 	RespondedMsAgo int64  `json:"responded_ms_ago"`
 	Timeouts       int    `json:"timeouts"`
-	// Load is nil if nothing is known of it.
+	// Restriction is why the server gets few new flows; none otherwise.
+	Restriction string `json:"restriction"`
+	// Load is what the decision uses of the load of the fleet; nil if it uses none.
 	Load *ServerLoad `json:"load,omitempty"`
 }
 
@@ -123,7 +120,7 @@
 		respond(w, http.StatusOK, out)
 		return
 	}
-	ctx, cancel := context.WithTimeout(r.Context(), previewTimeout)
+	ctx, cancel := context.WithTimeout(r.Context(), trafficTimeout)
 	defer cancel()
 	preview, err := s.Preview(ctx, p)
 	switch {
@@ -204,7 +201,17 @@
 	s := c.Server
 	return Candidate{ID: string(s.ID), Zone: string(s.Zone), State: serverState(s, v, now), Class: c.Class, Score: round(c.Score), Slots: s.Slots,
 		Flows: c.Flows, Busy: c.Busy, Probe: s.ProbeResult.String(), ProbedMsAgo: millisecondsAgo(s.ProbeSentAt, now),
-		RespondedMsAgo: millisecondsAgo(c.RespondedAt, now), Timeouts: c.Timeouts, Load: serverLoad(s, v, now)}
+		RespondedMsAgo: millisecondsAgo(c.RespondedAt, now), Timeouts: c.Timeouts, Restriction: c.Restriction.String(), Load: placementLoad(c, now)}
+}
+
+// placementLoad returns what the decision uses of the load of the fleet, or nil if it uses none.
+func placementLoad(c *steering.Candidate, now model.Time) *ServerLoad {
+	p := c.Placement
+	if p == nil {
+		return nil
+	}
+	return &ServerLoad{InProgress: round(p.InProgress), Samples: round(p.Samples), FailedShare: round(p.FailedShare), RelativeLatency: round(p.RelativeTime),
+		AgeMs: millisecondsAgo(c.MeasuredAt, now)}
 }
 
 // millisecondsAgo returns the time since an event, or -1 if there was none.
--- a/internal/app/steer/instance.go
+++ b/internal/app/steer/instance.go
@@ -133,7 +133,7 @@
 		return merry.Prepend(err, "listen.metrics")
 	}
 	source := &steerstatus.Source{Instance: string(s.Instance.ID), Clock: i.clock, Snapshots: i.control,
-		Ready: i.Ready, Flows: i.worker.Flows, Metrics: i.recorder.Snapshot, Gauges: i.gauges, Preview: i.worker.Preview}
+		Ready: i.Ready, Flows: i.worker.Flows, Metrics: i.recorder.Snapshot, Gauges: i.gauges, Preview: i.worker.Preview, ServerStatus: i.worker.ServerStatus}
 	i.statusServer = source.Server()
 	return nil
 }
--- a/internal/core/steering/preview_test.go
+++ b/internal/core/steering/preview_test.go
@@ -107,6 +107,7 @@
 			other := packet
 			other.Key.Caller.Port, other.Flags, other.Sequence = uint16(script.random.IntN(130)), SYN, uint32(script.random.IntN(2)*100)
 			script.steerer.Preview(script.snapshot, script.now, &other)
+			script.steerer.ServerStatus(script.now)
 		}
 		if packet.IsSYN() {
 			previewed = script.steerer.Preview(script.snapshot, script.now, &packet)
@@ -142,6 +143,16 @@
 	require.Positive(t, failing, "no trial of a failing server")
 }
 
+// Guards against a status that delays the packets of the callers.
+func BenchmarkServerStatus(b *testing.B) {
+	r := newRig(b)
+	r.publish(servers("a", "z", 1000))
+	r.openFlow(1, routeA)
+	for b.Loop() {
+		r.steerer.ServerStatus(r.now)
+	}
+}
+
 // Guards against a preview whose time grows with the flow records or the servers beyond the sample.
 func BenchmarkPreview(b *testing.B) {
 	for name, n := range map[string]int{"150 servers": 150, "30000 servers": 30000} {
--- a/internal/traffic/packets/preview_test.go
+++ b/internal/traffic/packets/preview_test.go
@@ -125,6 +125,10 @@
 		receive()
 	}
 	askers.Wait()
+	status, err := w.ServerStatus(t.Context())
+	require.NoError(t, err)
+	require.Len(t, status, 20)
+	require.Positive(t, status[0].Flows)
 }
 
 // Guards against a caller that waits for ever, and against questions that pile up, while the
