admission: zones without servers get their part; stalled requests no longer count

Change: an instance of a zone without servers shares the limits of all zones with the whole fleet; the load tally ends a request that the caller retransmits or that got no answer for 600 ms.

--- a/internal/core/admission/admission.go
+++ b/internal/core/admission/admission.go
@@ -113,7 +113,8 @@
 	Inputs Inputs
 }
 
-// Inputs are the figures on which a verdict is based: those of the own zone.
+// Inputs are the figures on which a verdict is based: those of the own zone, or of all zones if the
+// own one has no servers.
 type Inputs struct {
 	InProgress, CompletedPerSecond float64
 	Slots                          int
@@ -179,18 +180,13 @@
 
 // decideShort returns the verdict about a flow while the own zone is short.
 func (c *Controller) decideShort(k *service, load *room.Service, f *Flow, s *State) Verdict {
-	l := k.limitOf(load, s.Zone, f)
-	own := s.Own[s.Zone]
-	v := Verdict{Zone: s.Zone, Reason: model.ReasonAdmitted}
-	v.Inputs = Inputs{BaseLatency: load.BaseLatency, ViewAge: s.Now.Sub(s.View.At), Own: own}
-	part := 1.0
-	if z := load.Zones[s.Zone]; z != nil {
-		part = urgentPart(z, f.Terms.Priority)
-		v.Inputs.InProgress, v.Inputs.CompletedPerSecond, v.Inputs.Slots = z.Total.InProgress, z.Total.Completed, z.Slots
-		v.Inputs.Limit, v.Inputs.Share = l, share(l, part*z.Total.InProgress, s.Instances)
-	}
+	p := k.poolOf(load, f, s)
+	v := Verdict{Zone: p.zone, Reason: model.ReasonAdmitted}
+	v.Inputs = Inputs{BaseLatency: load.BaseLatency, ViewAge: s.Now.Sub(s.View.At), Own: p.own,
+		InProgress: p.inProgress, CompletedPerSecond: p.completed, Slots: p.slots,
+		Limit: p.limit, Share: share(p.limit, p.urgentPart()*p.inProgress, p.instances)}
 	reserved := k.reserve(c.settings.Reserve, load, f, s)
-	admitted := below(part*float64(own), v.Inputs.Share, s.Random)
+	admitted := below(p.urgentPart()*float64(p.own), v.Inputs.Share, s.Random)
 	if !admitted {
 		zone, found, free := k.otherZone(load, f, s)
 		switch {
--- a/internal/core/admission/property_test.go
+++ b/internal/core/admission/property_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
 	"github.com/savorytiller/savorytiller/internal/core/model"
@@ -113,3 +114,28 @@
 		t.Fatalf("%d flows sent to the other zone", sent)
 	}
 }
+
+// Load: twice the capacity while one zone is out of service. Guards against callers of that zone who
+// only get what those of the other zones leave, and against all of them being sent to one zone.
+func TestZoneWithoutServersSharesTheOthers(t *testing.T) {
+	full := func() *room.Zone {
+		return &room.Zone{Slots: 60, Instances: 16, Total: room.Counters{InProgress: 180, Completed: 1000}}
+	}
+	view := &room.View{At: 1, Usable: true, Services: map[string]*room.Service{"": {BaseLatency: 60 * time.Millisecond, Zones: map[model.Zone]*room.Zone{
+		"a": {Instances: 16}, "b": full(), "c": full()}}}}
+	f, c := Flow{Classes: &Classes{goal: true, priorities: []uint8{1, 2}}, Terms: model.Terms{Priority: 2}}, NewController(enabled)
+	admitted := func(zone model.Zone) map[model.Zone]int {
+		own := map[model.Zone]int{}
+		for i := range 100 {
+			v := c.Decide(&f, &State{Zone: zone, Instances: 16, View: view, Own: own, Now: 2, Random: float64(i*37%100) / 100})
+			if v.Reason == model.ReasonAdmitted {
+				own[v.Zone]++
+			}
+		}
+		return own
+	}
+	out, inService := admitted("a"), admitted("b")
+	require.InDelta(t, 6, out["b"]+out["c"], 1, "a 48th of the limits of b and c, which are 150 each")
+	require.InDelta(t, out["b"], out["c"], 1)
+	require.Greater(t, inService["b"], 0)
+}
--- a/internal/core/admission/service.go
+++ b/internal/core/admission/service.go
@@ -1,7 +1,9 @@
 package admission
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/savorytiller/savorytiller/internal/core/model"
@@ -140,20 +142,70 @@
 	return max(part/2, part+correction*math.Sqrt(part))
 }
 
-// urgentPart returns the part of the requests in progress of a zone that is at least as urgent as
-// a priority.
-func urgentPart(z *room.Zone, priority uint8) float64 {
-	total, urgent := 0.0, 0.0
-	for p, c := range z.ByPriority {
-		total += c.InProgress
-		if p <= priority {
-			urgent += c.InProgress
+// pool is the capacity that the instances of a zone share.
+type pool struct {
+	// zone is where the next flow goes.
+	zone                         model.Zone
+	limit, inProgress, completed float64
+	// known are the requests in progress whose priority is known, and urgent those of them that are
+	// at least as urgent as the flow.
+	known, urgent    float64
+	slots, instances int
+	// own is the number of this instance's requests in progress.
+	own int
+}
+
+// add adds a zone to the pool.
+func (p *pool) add(limit float64, z *room.Zone, priority uint8, own int) {
+	p.limit += limit
+	p.inProgress += z.Total.InProgress
+	p.completed += z.Total.Completed
+	p.slots += z.Slots
+	p.own += own
+	for other, c := range z.ByPriority {
+		p.known += c.InProgress
+		if other <= priority {
+			p.urgent += c.InProgress
 		}
 	}
-	if total <= 0 {
+}
+
+// urgentPart returns the part of the requests in progress that is at least as urgent as the flow.
+func (p *pool) urgentPart() float64 {
+	if p.known <= 0 {
 		return 1
 	}
-	return urgent / total
+	return p.urgent / p.known
+}
+
+// poolOf returns the pool of a flow: the own zone, or all zones if the own one has no servers. Then
+// each instance of the fleet has the same part of it, because the callers of a zone that is out of
+// service would otherwise only get what those of the other zones leave.
+func (k *service) poolOf(load *room.Service, f *Flow, s *State) pool {
+	p := pool{zone: s.Zone, instances: s.Instances}
+	if z := load.Zones[s.Zone]; z != nil && z.Slots > 0 {
+		p.add(k.limitOf(load, s.Zone, f), z, f.Terms.Priority, s.Own[s.Zone])
+		return p
+	}
+	zones := slices.Sorted(maps.Keys(load.Zones))
+	for _, name := range zones {
+		z := load.Zones[name]
+		p.add(k.limitOf(load, name, f), z, f.Terms.Priority, s.Own[name])
+		if name != s.Zone {
+			p.instances += z.Instances
+		}
+	}
+	// The flows spread over the zones in proportion to their limits.
+	point := s.Random * p.limit
+	for _, name := range zones {
+		if l := k.limitOf(load, name, f); l > 0 {
+			p.zone = name
+			if point -= l; point < 0 {
+				break
+			}
+		}
+	}
+	return p
 }
 
 // otherZone returns the zone with the most spare capacity of which this instance's part is not
--- a/internal/core/steering/flows.go
+++ b/internal/core/steering/flows.go
@@ -61,6 +61,8 @@
 	dataEnd, acknowledged uint32
 	synSequence           uint32 // sequence number of the SYN
 	priority              uint8  // of the route when the flow opened
+	// countedAt is when the request in progress was last counted in the load tally; 0 if it is not.
+	countedAt model.Time
 }
 
 // pendingSYN is a SYN that was sent to a server and is checked after ResponseTimeout.
@@ -112,10 +114,10 @@
 	f.busy = busy
 	if busy {
 		f.target.busy++
-		s.load.changeBusy(f, 1)
+		s.load.startRequest(f)
 	} else {
 		f.target.busy--
-		s.load.changeBusy(f, -1)
+		s.load.endRequest(f)
 	}
 }
 
@@ -155,6 +157,7 @@
 			s.setBusy(f, true)
 		case !f.retransmitted && now.Sub(f.sentAt) >= ResponseTimeout:
 			f.retransmitted = true
+			s.load.endRequest(f) // the server does not respond
 			s.recordTimeout(f.target, now, f.sentAt)
 		}
 	}
--- a/internal/core/steering/load.go
+++ b/internal/core/steering/load.go
@@ -17,6 +17,11 @@
 	minUsualTimes = 20
 )
 
+// stalledAfter is the time without new data or an answer after which a request no longer counts in
+// the reports. Its server has failed, or another instance gets the packets of the flow now: when
+// the instances in rotation change, nearly all flows move. Queues of servers end within 450 ms.
+const stalledAfter = 600 * time.Millisecond
+
 // loadTally counts the load that a Steerer observes, until it is reported. The counters of each
 // server and class are kept with the target and the class, so that a packet of a known flow costs
 // no map access except for an answer.
@@ -29,7 +34,9 @@
 	sequence   uint64
 	classes    map[room.Class]*classLoad
 	// active are the targets that were used since the last report or have requests in progress.
-	active     []*target
+	active []*target
+	// waiting are the requests that were counted, in the order in which they are checked.
+	waiting    []waitingRequest
 	usualTimes map[routeOfService]*usualTime
 }
 
@@ -138,8 +145,45 @@
 	}
 }
 
-// changeBusy changes the requests in progress of a flow's target and class.
-func (l *loadTally) changeBusy(f *flow, n int) {
+// waitingRequest identifies a request of a flow by when it was counted.
+type waitingRequest struct {
+	flow      *flow
+	countedAt model.Time
+}
+
+// startRequest counts a request of a flow as in progress.
+func (l *loadTally) startRequest(f *flow) {
+	f.countedAt = l.now
+	l.waiting = append(l.waiting, waitingRequest{f, l.now})
+	l.change(f, 1)
+}
+
+// endRequest ends the request of a flow that is in progress, if it still counts.
+func (l *loadTally) endRequest(f *flow) {
+	if f.countedAt != 0 {
+		f.countedAt = 0
+		l.change(f, -1)
+	}
+}
+
+// expireRequests ends the requests that are stalled.
+func (l *loadTally) expireRequests() {
+	for len(l.waiting) > 0 && l.now.Sub(l.waiting[0].countedAt) >= stalledAfter {
+		w := l.waiting[0]
+		l.waiting = l.waiting[1:]
+		switch {
+		case w.flow.countedAt != w.countedAt: // it has ended
+		case l.now.Sub(w.flow.sentAt) >= stalledAfter:
+			l.endRequest(w.flow)
+		default: // more data was sent since, as for an upload
+			w.flow.countedAt = l.now
+			l.waiting = append(l.waiting, waitingRequest{w.flow, l.now})
+		}
+	}
+}
+
+// change changes the requests in progress of a flow's target and class.
+func (l *loadTally) change(f *flow, n int) {
 	t := &f.target.load
 	l.markActive(f.target)
 	t.add(l.now, n)
--- a/internal/core/steering/load_test.go
+++ b/internal/core/steering/load_test.go
@@ -110,3 +110,30 @@
 		r.requests(1, routeA, server, 1, 10*time.Microsecond, 1000)
 	}
 }
+
+// Guards against a zone that looks short of capacity because its instances still count requests
+// of flows that have moved to other instances, or that wait for a server that does not respond.
+func TestStalledRequestsDoNotCount(t *testing.T) {
+	r := newLoadRig(t)
+	server := r.openFlow(1, routeA)
+	f := r.steerer.flows[FlowKey{Endpoint{9, 1}, routeA}]
+	inProgress := func() int { return r.steerer.targetOf(server).load.count }
+	require.Equal(t, 1, inProgress())
+	r.now += 400 * millisecond
+	r.data(1, routeA, server.Token, f.dataEnd, f.acknowledged) // an upload that goes on
+	r.now += 400 * millisecond
+	r.openFlow(2, routeB)
+	require.Equal(t, 1, inProgress())
+	r.now = r.now.Add(stalledAfter)
+	r.openFlow(3, routeB)
+	require.Zero(t, inProgress(), "the packets of the flow go to another instance")
+	require.True(t, f.busy, "decisions of this instance count it as before")
+
+	r.requests(1, routeA, server, 1, 40*time.Millisecond, 800)
+	require.Zero(t, inProgress())
+	r.data(1, routeA, server.Token, f.dataEnd, f.acknowledged)
+	require.Equal(t, 1, inProgress())
+	r.now += 200 * millisecond
+	r.data(1, routeA, server.Token, f.dataEnd-100, f.acknowledged) // a retransmission
+	require.Zero(t, inProgress(), "the server does not respond")
+}
--- a/internal/core/steering/steerer.go
+++ b/internal/core/steering/steerer.go
@@ -90,6 +90,7 @@
 		return Decision{Reason: model.ReasonNoConfiguration}
 	}
 	s.load.now = now
+	s.load.expireRequests()
 	s.setSnapshot(snapshot, now)
 	s.expirePendingSYNs(now)
 	s.sweep(now)
