--- a/internal/core/steering/preview.go
+++ b/internal/core/steering/preview.go
@@ -62,9 +62,11 @@
 // preview is the part of a Steerer that exists only in a copy made for a preview. The decision
 // changes the copy, so what it may change is copied before.
 type preview struct {
-	// origin is the Steerer that was copied, and targets its targets that were.
+	// origin is the Steerer that was copied, and targets and flows are the copies of its targets and
+	// records.
 	origin  *Steerer
 	targets map[*target]*target
+	flows   map[*flow]*flow
 	// records is the number of flow records of origin that were not copied.
 	records int
 	// best are the best candidates so far, firsts the best ones of each class, and considered is the
@@ -99,7 +101,7 @@
 // decision may read or that are due to change before it; targets are copied when they are used.
 func (s *Steerer) copyFor(snapshot *Snapshot, now model.Time, p *Packet) *Steerer {
 	c := *s
-	c.preview = &preview{origin: s, targets: map[*target]*target{}}
+	c.preview = &preview{origin: s, targets: map[*target]*target{}, flows: map[*flow]*flow{}}
 	c.targets, c.flows = map[Token]*target{}, map[FlowKey]*flow{}
 	c.loads = make(map[string]*serviceLoad, len(s.loads))
 	for name, load := range s.loads {
@@ -122,6 +124,12 @@
 		}
 	}
 	c.copyFlow(p.Key)
+	for _, w := range s.load.waiting {
+		if now.Sub(w.countedAt) < stalledAfter {
+			break
+		}
+		c.load.waiting = append(c.load.waiting, waitingRequest{c.copyRecord(w.flow), w.countedAt})
+	}
 	for _, pending := range s.pendingSYNs {
 		if now.Sub(pending.sentAt) < ResponseTimeout {
 			break
@@ -145,13 +153,22 @@
 	return server != nil && (server.ProbeFailed() || server.HasEnded(now, &s.Availability))
 }
 
-// copyFlow copies the record of a flow, if there is one, with its target.
+// copyFlow copies the record of a flow, if there is one.
 func (s *Steerer) copyFlow(key FlowKey) {
-	if f := s.preview.origin.flows[key]; f != nil && s.flows[key] == nil {
-		copied := *f
-		copied.target = s.copyTarget(f.target)
-		s.flows[key] = &copied
+	if f := s.preview.origin.flows[key]; f != nil {
+		s.flows[key] = s.copyRecord(f)
+	}
+}
+
+// copyRecord returns the copy of a record of the original Steerer, with its target.
+func (s *Steerer) copyRecord(f *flow) *flow {
+	if c := s.preview.flows[f]; c != nil {
+		return c
 	}
+	c := *f
+	c.target = s.copyTarget(f.target)
+	s.preview.flows[f] = &c
+	return &c
 }
 
 // copyTarget returns the copy of a target of the original Steerer.
@@ -183,7 +200,7 @@
 // copy returns a copy of the tally, without the targets.
 func (l *loadTally) copy() loadTally {
 	c := *l
-	c.active = nil
+	c.active, c.waiting = nil, nil
 	c.classes = make(map[room.Class]*classLoad, len(l.classes))
 	for class, load := range l.classes {
 		copied := *load
--- a/internal/core/steering/preview_test.go
+++ b/internal/core/steering/preview_test.go
@@ -42,6 +42,9 @@
 func (p *previewScript) publishNext(step int) {
 	a, b := append(servers("a", "z", 4), servers("a", "y", 3)...), servers("b", "z", 300)
 	a[p.random.IntN(7)].State = model.ServerDraining
+	if step%3 == 0 {
+		a[p.random.IntN(7)].SupersededAt = p.now // its flows are reset
+	}
 	if failed := a[p.random.IntN(7)]; step%2 == 0 {
 		failed.ProbeResult, failed.ProbeSentAt = belief.Unreachable, p.now
 	}
@@ -58,8 +61,8 @@
 	p.snapshot.Routes[routeB].Shares = []Share{{"a", 1}, {"b", 1}}
 	if step%4 < 3 {
 		p.snapshot.Routes[routeA].Terms = model.Terms{Priority: 1, Goal: 600 * time.Millisecond}
-		p.snapshot.Routes[routeB].Terms = model.Terms{Priority: 2, Goal: 900 * time.Millisecond}
-		p.snapshot.Room = loadView(p.now, 10+float64(p.random.IntN(60)))
+		p.snapshot.Routes[routeB].Terms = model.Terms{Priority: 2, Goal: time.Duration(step%2) * 900 * time.Millisecond}
+		p.snapshot.Room = loadView(p.now, 20+float64(p.random.IntN(120)))
 		p.snapshot.Room.Services["a"].Zones["y"] = &room.Zone{Slots: 12, Instances: 4, Total: room.Counters{InProgress: float64(p.random.IntN(40)), Completed: 100}}
 		p.snapshot.Room.Servers = map[uint32]room.ServerLoad{}
 		for _, s := range p.snapshot.Servers.Sorted() {
@@ -71,7 +74,7 @@
 
 // next returns the next packet of a random caller.
 func (p *previewScript) next() Packet {
-	caller := uint16(p.random.IntN(120))
+	caller := uint16(p.random.IntN(400))
 	packet := Packet{Key: FlowKey{Endpoint{9, caller}, []Endpoint{routeA, routeB}[caller%2]}, Flags: SYN, Sequence: 100, Retransmissions: uint32(p.random.IntN(2))}
 	if token := p.tokens[caller]; token != 0 && p.random.IntN(4) > 0 {
 		packet.Flags, packet.Token, packet.Sequence, packet.Length = ACK, token, 101+uint32(p.random.IntN(500)), 50
@@ -94,8 +97,8 @@
 	}
 	reasons, classes, failing := map[string]int{}, map[string]int{}, 0
 	for step := range 30000 {
-		if step%300 == 0 {
-			script.publishNext(step / 300)
+		if step%60 == 0 {
+			script.publishNext(step / 60)
 		}
 		script.now += model.Time(script.random.IntN(12)) * millisecond
 		if script.random.IntN(2000) == 0 {
@@ -105,7 +108,7 @@
 		var previewed *Preview
 		if script.random.IntN(3) == 0 {
 			other := packet
-			other.Key.Caller.Port, other.Flags, other.Sequence = uint16(script.random.IntN(130)), SYN, uint32(script.random.IntN(2)*100)
+			other.Key.Caller.Port, other.Flags, other.Sequence = uint16(script.random.IntN(420)), SYN, uint32(script.random.IntN(2)*100)
 			script.steerer.Preview(script.snapshot, script.now, &other)
 			script.steerer.ServerStatus(script.now)
 		}
@@ -159,6 +162,7 @@
 		b.Run(name, func(b *testing.B) {
 			r := newRig(b)
 			r.publish(servers("a", "z", n))
+			r.snapshot.Room = loadView(r.now.Add(time.Second), 100)
 			for i := range 10000 {
 				r.now += millisecond / 10
 				r.send(Packet{Key: FlowKey{Endpoint{9 + uint32(i), 1}, routeA}, Flags: SYN, Sequence: 100})
