--- a/internal/core/steering/completion.go
+++ b/internal/core/steering/completion.go
@@ -154,7 +154,7 @@
 func (s *Steerer) chooseCandidate(r *request, view *room.View, now model.Time) (*candidate, int) {
 	s.markFailing(now)
 	route := s.routes[routeOfService{r.route, r.service.Name}]
-	free, leastBusy := false, math.Inf(1) // whether a server of the zone has a free slot
+	free, leastBusy := false, math.Inf(1)
 	var picks [classExcluded]pick
 	for i := range s.candidates {
 		c := &s.candidates[i]
@@ -233,8 +233,8 @@
 	if !other.known || route.longFlows() && !short {
 		return false
 	}
-	time := max(other.time, far.busyPerSlot()) + s.crossing(far, r.zone, route)
-	return time < leastBusy || s.random.Float64() < leaveShare*(1-time/near.time)
+	farTime := max(other.time, far.busyPerSlot()) + s.crossing(far, r.zone, route)
+	return farTime < leastBusy || s.random.Float64() < leaveShare*(1-farTime/near.time)
 }
 
 // busyPerSlot returns the number of own requests per slot of the server.
