steering: decisions draw from the generator itself unless a preview drew ahead

Cause: the source that gives previews the next random numbers stood before the generator in each decision; with 250 servers and no view a new flow took 7.0 to 7.8 us instead of 6.3 to 6.8 us.

Change: that source is used only from a preview until its numbers are used up.

--- a/internal/core/steering/admit_test.go
+++ b/internal/core/steering/admit_test.go
@@ -198,9 +198,7 @@
 		s.Room = viewOf(s.ConfirmedAt, 100)
 		s.Room.Usable = false
 	}), "view not usable")
-	// The recorded decisions are those without a usable view, which placement uses as well.
-	withView := func(s *Snapshot) { s.Room = viewOf(s.ConfirmedAt, 100) }
-	require.Equal(t, replayWith(t, admission.Settings{}, withView), replay(t, withView), "no terms")
+	require.Equal(t, string(recorded), replay(t, func(s *Snapshot) { s.Room = viewOf(s.ConfirmedAt, 100) }), "no terms")
 	require.NotEqual(t, string(recorded), replay(t, func(s *Snapshot) {
 		withTerms(s)
 		s.Room = viewOf(s.ConfirmedAt, 100)
--- a/internal/core/steering/completion.go
+++ b/internal/core/steering/completion.go
@@ -193,7 +193,7 @@
 			picks[class] = pick{c, key}
 		}
 		if s.preview != nil {
-			s.preview.consider(s.candidateOf(t, class, cost, key, c.placement(), now))
+			s.noteCandidate(t, class, cost, key, c.placement(), now)
 		}
 	}
 	near, far := &picks[classBusy], &picks[classFar]
--- a/internal/core/steering/preview.go
+++ b/internal/core/steering/preview.go
@@ -88,8 +88,8 @@
 	if out.Route = snapshot.Routes[p.Key.Route]; out.Route != nil {
 		out.Service = snapshot.Services[selectService(out.Route, p.Key)]
 	}
-	s.source.startPreview()
-	defer s.source.endPreview()
+	s.startPreview()
+	defer s.endPreview()
 	c := s.copyFor(snapshot, now, p)
 	out.Decision = c.Decide(snapshot, now, p)
 	out.Candidates, out.Considered = c.preview.list(out.Decision.Server), c.preview.considered
@@ -237,8 +237,9 @@
 	}
 }
 
-// candidateOf describes a target that is considered. The least order of a class is preferred.
-func (s *Steerer) candidateOf(t *target, class int, score, order float64, placement *Placement, now model.Time) Candidate {
+// noteCandidate records a target that is considered in a preview. The least order of a class is
+// preferred.
+func (s *Steerer) noteCandidate(t *target, class int, score, order float64, placement *Placement, now model.Time) {
 	c := Candidate{Server: t.server, Class: classNames[class], Score: score, Flows: t.flows, Busy: t.busy, Placement: placement,
 		RespondedAt: t.RespondedAt, Timeouts: t.Timeouts(now), Restriction: s.restriction(t, s.snapshot.Services[t.server.Service], now), class: class, order: order}
 	if placement != nil {
@@ -246,7 +247,7 @@
 			c.MeasuredAt = t.fleet.UpdatedAt
 		}
 	}
-	return c
+	s.preview.consider(c)
 }
 
 // restartPreview forgets the candidates if this is a preview, because the selection does.
@@ -291,32 +292,48 @@
 	return cmp.Or(cmp.Compare(c.class, o.class), cmp.Compare(c.order, o.order))
 }
 
-// randomSource is a source of random numbers. A preview sees the numbers that the next decisions
-// will get.
-type randomSource struct {
+// numbersAhead is a source of random numbers that gives a preview those that the next decisions will
+// get.
+type numbersAhead struct {
 	from *rand.Rand
-	// ahead are the numbers that were drawn for previews only. next is the position of the
-	// preview in them, or -1 if there is none.
-	ahead []uint64
-	next  int
+	// numbers were drawn for previews only. next is the position of the preview in them, or -1 if
+	// there is none.
+	numbers []uint64
+	next    int
 }
 
 // Uint64 implements rand.Source.
-func (r *randomSource) Uint64() uint64 {
-	if r.next < 0 {
-		if len(r.ahead) == 0 {
-			return r.from.Uint64()
+func (a *numbersAhead) Uint64() uint64 {
+	if a.next < 0 {
+		if len(a.numbers) == 0 {
+			return a.from.Uint64()
 		}
-		number := r.ahead[0]
-		r.ahead = r.ahead[1:]
+		number := a.numbers[0]
+		a.numbers = a.numbers[1:]
 		return number
 	}
-	if r.next == len(r.ahead) {
-		r.ahead = append(r.ahead, r.from.Uint64())
+	if a.next == len(a.numbers) {
+		a.numbers = append(a.numbers, a.from.Uint64())
+	}
+	a.next++
+	return a.numbers[a.next-1]
+}
+
+// startPreview has random draw ahead until endPreview.
+func (s *Steerer) startPreview() {
+	if s.ahead == nil {
+		s.ahead = &numbersAhead{from: s.random}
+		s.random = rand.New(s.ahead)
 	}
-	r.next++
-	return r.ahead[r.next-1]
+	s.ahead.next = 0
 }
 
-func (r *randomSource) startPreview() { r.next = 0 }
-func (r *randomSource) endPreview()   { r.next = -1 }
+func (s *Steerer) endPreview() { s.ahead.next = -1 }
+
+// restoreRandom has random draw as before the last preview, once the numbers that were drawn ahead
+// are used up.
+func (s *Steerer) restoreRandom() {
+	if s.ahead != nil && s.ahead.next < 0 && len(s.ahead.numbers) == 0 {
+		s.random, s.ahead = s.ahead.from, nil
+	}
+}
--- a/internal/core/steering/replay_test.go
+++ b/internal/core/steering/replay_test.go
@@ -26,13 +26,8 @@
 // and close; some answers are missing, so SYNs and requests are retransmitted; servers drain and
 // fail. prepare may change each snapshot.
 func replay(t *testing.T, prepare func(*Snapshot)) string {
-	return replayWith(t, admission.Settings{Enabled: true, Reserve: 0.1}, prepare)
-}
-
-// replayWith is replay with other settings of admission control.
-func replayWith(t *testing.T, settings admission.Settings, prepare func(*Snapshot)) string {
 	r := newRig(t)
-	r.steerer.SetAdmission(settings)
+	r.steerer.SetAdmission(admission.Settings{Enabled: true, Reserve: 0.1})
 	script := rand.New(rand.NewPCG(11, 12))
 	type caller struct {
 		key                FlowKey
--- a/internal/core/steering/select.go
+++ b/internal/core/steering/select.go
@@ -91,6 +91,7 @@
 // that server if the load of the fleet is. r.avoid is only selected if there is no other and it
 // still accepts new flows.
 func (s *Steerer) selectServer(r request, now model.Time) (*target, *Placement) {
+	s.restoreRandom()
 	load := s.loads[r.service.Name]
 	if load == nil {
 		load = &serviceLoad{perOpenFlow: initialLoadPerFlow}
@@ -170,7 +171,7 @@
 	}
 	score += jitter * s.random.Float64()
 	if s.preview != nil {
-		s.preview.consider(s.candidateOf(t, class, score, score, nil, now))
+		s.noteCandidate(t, class, score, score, nil, now)
 	}
 	if class < c.class || class == c.class && score < c.score {
 		c.best, c.class, c.score = t, class, score
--- a/internal/core/steering/steerer.go
+++ b/internal/core/steering/steerer.go
@@ -58,9 +58,9 @@
 	// addition to its service's ColdPerSecond.
 	coldMargin float64
 	snapshot   *Snapshot
-	// random draws from source.
-	random      *rand.Rand
-	source      *randomSource
+	random     *rand.Rand
+	// ahead is what random draws from after a preview; nil if no numbers were drawn ahead.
+	ahead       *numbersAhead
 	flows       map[FlowKey]*flow
 	targets     map[Token]*target
 	loads       map[string]*serviceLoad
@@ -90,8 +90,7 @@
 // NewSteerer returns a Steerer without flows. coldMargin is the number of new flows per
 // second that a cold server can take in addition to its service's ColdPerSecond.
 func NewSteerer(random *rand.Rand, coldMargin float64) *Steerer {
-	source := &randomSource{from: random, next: -1}
-	return &Steerer{coldMargin: coldMargin, random: rand.New(source), source: source, flows: map[FlowKey]*flow{}, targets: map[Token]*target{},
+	return &Steerer{coldMargin: coldMargin, random: random, flows: map[FlowKey]*flow{}, targets: map[Token]*target{},
 		loads: map[string]*serviceLoad{}, lost: newLostFlows(), routes: map[routeOfService]*routeMeasure{}, paths: map[model.Zone]*pathTime{}, load: newLoadTally(),
 		admitter: newAdmitter(admission.Settings{})}
 }
