hedge: slow openings of flows are repeated at a second server

Cause: 3 % of the openings take seven times as long as usual, and a server that answers late or never delays each flow that is placed there until the caller's own retransmission after 200 ms.

The flow opens where the caller acknowledges. Setting hedge.limit, default 0; counters under part hedge.

--- a/internal/adapter/settings/fields.go
+++ b/internal/adapter/settings/fields.go
@@ -52,6 +52,8 @@
 	integer("requests.queue_length", 64, 1, 4096, func(s *Settings) *int { return &s.Requests.QueueLength }),
 	integer("requests.dedup_keys", 100_000, 1000, 10_000_000, func(s *Settings) *int { return &s.Requests.DedupKeys }),
 
+	hedgeLimit(func(s *Settings) *float64 { return &s.Hedge.Limit }),
+
 	milliseconds("shutdown.notice_ms", 2000, 0, 60_000, func(s *Settings) *time.Duration { return &s.Shutdown.Notice }),
 	milliseconds("shutdown.drain_ms", 30_000, 100, 600_000, func(s *Settings) *time.Duration { return &s.Shutdown.Drain }),
 
@@ -128,6 +130,12 @@
 	return f
 }
 
+// hedgeLimit returns the field of the share of the requests that may be repeated at a second
+// server. More than a fifth would rather need more servers.
+func hedgeLimit[S any](target func(s *S) *float64) field[S] {
+	return decimal("hedge.limit", 0, 0, 0.2, target)
+}
+
 func logLevel[S any](target func(s *S) *string) field[S] {
 	return field[S]{key: "log.level", allowed: "one of debug, info, error", defaultValue: "info", set: func(s *S, v any) bool {
 		level := target(s)
--- a/internal/adapter/settings/settings.go
+++ b/internal/adapter/settings/settings.go
@@ -20,6 +20,7 @@
 	PeerKeys  []PeerKey
 	Flows     Flows
 	Requests  Requests
+	Hedge     Hedge
 	Shutdown  Shutdown
 	Log       Log
 	Metrics   Metrics
@@ -91,6 +92,13 @@
 	Drain time.Duration
 }
 
+// Hedge bounds the repetition of slow requests, or of slow openings of flows, at a second
+// server.
+type Hedge struct {
+	// Limit is the largest number of repetitions for each request of a service; 0 for none.
+	Limit float64
+}
+
 // Log selects what is logged.
 type Log struct {
 	// Level is debug, info or error.
--- a/internal/adapter/settings/steer.go
+++ b/internal/adapter/settings/steer.go
@@ -19,6 +19,7 @@
 	Seeds    []netip.AddrPort
 	Registry Registry
 	Bounds   Bounds
+	Hedge    Hedge
 	Log      Log
 }
 
@@ -75,6 +76,7 @@
 	duration("bounds.evacuation_ms", time.Millisecond, 5000, 300, 600_000, func(s *Steer) *time.Duration { return &s.Bounds.Evacuation }),
 	duration("bounds.stop_grace_s", time.Second, 6, 0.1, 600, func(s *Steer) *time.Duration { return &s.Bounds.StopGrace }),
 	decimal("bounds.cold_margin", 5, 0, 1000, func(s *Steer) *float64 { return &s.Bounds.ColdMargin }),
+	hedgeLimit(func(s *Steer) *float64 { return &s.Hedge.Limit }),
 	logLevel(func(s *Steer) *string { return &s.Log.Level }),
 }
 
--- a/internal/adapter/settings/steer_test.go
+++ b/internal/adapter/settings/steer_test.go
@@ -60,6 +60,7 @@
 		"range":         {`stop_grace_s = 6.5`, `stop_grace_s = 0.01`, "bounds.stop_grace_s", "from 0.1 to 600"},
 		"type":          {`cold_margin = 5`, `cold_margin = "5"`, "bounds.cold_margin", "from 0 to 1000"},
 		"link":          {`link_mbps = 10`, `link_mbps = -1`, "instance.link_mbps", "from 0"},
+		"hedge limit":   {`[bounds]`, "[hedge]\nlimit = 0.3\n[bounds]", "hedge.limit", "from 0 to 0.2"},
 		"unknown":       {`cold_margin = 5`, `warm_margin = 5`, "bounds.warm_margin", "docs/OPERATIONS.md"},
 	} {
 		_, err := ParseSteer("f", []byte(strings.Replace(steerExample, c.old, c.new, 1)))
--- a/internal/app/steer/instance.go
+++ b/internal/app/steer/instance.go
@@ -112,9 +112,10 @@
 		_ = socket.Close() // the listener's error is returned
 		return nil, merry.Prepend(err, "listen.readiness")
 	}
+	steerer := steering.NewSteerer(rand.New(rand.NewPCG(seed, 1)), s.Bounds.ColdMargin)
+	steerer.SetHedgeLimit(s.Hedge.Limit)
 	i.worker = packets.New(packets.Options{Socket: socket, Codec: p.Codec(s), Snapshots: i.control, Faults: i.control, Clock: i.clock,
-		Recorder: i.recorder, Log: logs.Part("flow"),
-		Steerer: steering.NewSteerer(rand.New(rand.NewPCG(seed, 1)), s.Bounds.ColdMargin)})
+		Recorder: i.recorder, Log: logs.Part("flow"), Steerer: steerer})
 	i.readinessServer = readiness.NewServer(i.Ready)
 	return i, i.openStatus()
 }
@@ -194,7 +195,7 @@
 		"seeds", len(s.Seeds), "link_mbps", s.LinkMbps, "config_apply_ms", s.Bounds.ConfigApply.Milliseconds(),
 		"drain_ms", s.Bounds.Drain.Milliseconds(), "evacuation_ms", s.Bounds.Evacuation.Milliseconds(),
 		"follow_ms", registryBounds(s).FollowTime().Milliseconds(), "stop_grace_ms", s.Bounds.StopGrace.Milliseconds(),
-		"flow_lifetime_ms", s.Bounds.FlowLifetime.Milliseconds(), "cold_margin", s.Bounds.ColdMargin)
+		"flow_lifetime_ms", s.Bounds.FlowLifetime.Milliseconds(), "cold_margin", s.Bounds.ColdMargin, "hedge_limit", s.Hedge.Limit)
 	var err error
 	select {
 	case err = <-failed:
--- a/internal/app/steer/reload.go
+++ b/internal/app/steer/reload.go
@@ -70,7 +70,7 @@
 	}
 	current := i.settings.Load()
 	restart := next.Instance != current.Instance || next.Listen != current.Listen || next.LinkMbps != current.LinkMbps ||
-		next.Log != current.Log || boundsFixedAtStart(next) != boundsFixedAtStart(current)
+		next.Log != current.Log || next.Hedge != current.Hedge || boundsFixedAtStart(next) != boundsFixedAtStart(current)
 	if next.Registry != current.Registry {
 		i.control.SetRegistry(i.platform.Registry(next))
 	}
--- a/internal/core/model/reason.go
+++ b/internal/core/model/reason.go
@@ -71,6 +71,13 @@
 	ReasonShuttingDown
 	ReasonRetryBudget // the budget for retries is used up
 
+	// Hedged requests and openings of flows.
+	ReasonHedged              // sent to a second server as well
+	ReasonHedgeWon            // the second server answered first
+	ReasonHedgeCancelled      // a copy of the request or SYN was not needed
+	ReasonHedgeDeniedLimit    // the budget for hedges is used up
+	ReasonHedgeDeniedCapacity // no free capacity for a copy, or the service is slow as a whole
+
 	// Release notes.
 	ReasonNoteApplied
 	ReasonNoteOld // not newer than the note in force
@@ -141,6 +148,11 @@
 	ReasonPeerUnreachable:       "peer_unreachable",
 	ReasonShuttingDown:          "shutting_down",
 	ReasonRetryBudget:           "retry_budget",
+	ReasonHedged:                "hedged",
+	ReasonHedgeWon:              "won",
+	ReasonHedgeCancelled:        "cancelled",
+	ReasonHedgeDeniedLimit:      "denied_limit",
+	ReasonHedgeDeniedCapacity:   "denied_capacity",
 	ReasonNoteApplied:           "note_applied",
 	ReasonNoteOld:               "note_old",
 	ReasonNoteGap:               "note_gap",
--- a/internal/core/steering/flows.go
+++ b/internal/core/steering/flows.go
@@ -119,6 +119,7 @@
 // removeRecord deletes the record of a flow and its load.
 func (s *Steerer) removeRecord(key FlowKey, f *flow) {
 	s.removeLoad(f)
+	s.dropCopy(key, model.ReasonHedgeCancelled)
 	delete(s.flows, key)
 }
 
--- a/internal/core/steering/select.go
+++ b/internal/core/steering/select.go
@@ -88,6 +88,20 @@
 // avoid is the server that did not answer an earlier SYN of this flow, or nil; it is
 // only selected if there is no other and it still accepts new flows.
 func (s *Steerer) selectServer(service *Service, zone model.Zone, avoid *target, now model.Time) *target {
+	c := s.bestServer(service, zone, avoid, now)
+	if c.best == nil && avoid != nil && slices.Contains(service.Servers, avoid.server) && s.class(avoid, service, zone, 0, now) != classExcluded {
+		c.best = avoid
+	}
+	if c.best != nil {
+		c.best.StartTrial(now, 2*ResponseTimeout)
+		s.countColdFlow(c.best, now)
+	}
+	return c.best
+}
+
+// bestServer returns the least loaded server for a new flow besides avoid, with its class, and
+// does not count a flow to it.
+func (s *Steerer) bestServer(service *Service, zone model.Zone, avoid *target, now model.Time) choice {
 	load := s.loads[service.Name]
 	if load == nil {
 		load = &serviceLoad{perOpenFlow: initialLoadPerFlow}
@@ -107,14 +121,7 @@
 	if c.flows > 0 {
 		load.perOpenFlow += loadSmoothing * (float64(c.busy)/float64(c.flows) - load.perOpenFlow)
 	}
-	if c.best == nil && avoid != nil && slices.Contains(service.Servers, avoid.server) && s.class(avoid, service, zone, 0, now) != classExcluded {
-		c.best = avoid
-	}
-	if c.best != nil {
-		c.best.StartTrial(now, 2*ResponseTimeout)
-		s.countColdFlow(c.best, now)
-	}
-	return c.best
+	return c
 }
 
 // choice holds the best server of those considered so far.
--- a/internal/core/steering/steerer.go
+++ b/internal/core/steering/steerer.go
@@ -64,6 +64,7 @@
 	lost         lostFlows
 	// answerSizes holds the usual size of the answers of each route.
 	answerSizes map[Endpoint]*answerSize
+	hedging     *hedging
 }
 
 // NewSteerer returns a Steerer without flows. coldMargin is the number of new flows per
@@ -184,6 +185,9 @@
 		// as well, the caller could confuse the two.
 		return Decision{Action: Deliver, Reason: model.ReasonKnownFlow, Server: f.target.server}
 	}
+	if t := s.copyTarget(p.Key, now); t != nil {
+		return Decision{Action: Deliver, Reason: model.ReasonKnownFlow, Server: t.server}
+	}
 	service := s.snapshot.Services[selectService(route, p.Key)]
 	if service == nil {
 		return Decision{Reason: model.ReasonUnknownService}
@@ -257,6 +261,7 @@
 	if reason, reset := s.resetReason(p, t, route, now); reset {
 		return s.resetFlow(p, f, t, reason)
 	}
+	s.seeOpened(p.Key, f, t, now)
 	if f != nil && f.target != t {
 		// The token is authoritative: it names the server that answered the caller.
 		s.removeLoad(f)
--- a/internal/traffic/packets/worker.go
+++ b/internal/traffic/packets/worker.go
@@ -21,6 +21,7 @@
 const (
 	part      = "flow"
 	partReset = "flow_reset"
+	partHedge = "hedge"
 )
 
 // bufferSize holds the headroom of the codec and the largest datagram that is received
@@ -48,6 +49,7 @@
 	options Options
 	buffer  [bufferSize]byte
 	reset   [bufferSize]byte // the reset being sent
+	hedge   [bufferSize]byte // the SYN being sent to a second server
 	packet  steering.Packet  // the packet being processed
 	// lastPacket is when the last well-formed packet arrived. A shutdown waits until none
 	// arrive.
@@ -100,6 +102,9 @@
 	o.Recorder.Count(part, decision.Reason)
 	switch decision.Action {
 	case steering.Deliver:
+		if decision.NewFlow {
+			o.Steerer.KeepSYN(p, buffer[o.Codec.Headroom():], now)
+		}
 		w.send(decision.Server.Address, o.Codec.Encapsulate(buffer, decision.Server, decision.Server.Token))
 	case steering.Reset:
 		o.Recorder.Count(partReset, decision.Reason)
@@ -116,6 +121,24 @@
 	}
 	w.log(&decision, snapshot, now)
 	w.resetLostFlows(snapshot, now)
+	w.hedgeOpenings(now)
+}
+
+// hedgeOpenings sends the SYNs that are due to second servers and counts how hedged openings
+// ended.
+func (w *Worker) hedgeOpenings(now model.Time) {
+	o := &w.options
+	for h, ok := o.Steerer.TakeHedge(now); ok; h, ok = o.Steerer.TakeHedge(now) {
+		o.Recorder.Count(partHedge, h.Reason)
+		if h.Server == nil {
+			continue
+		}
+		headroom := o.Codec.Headroom()
+		n := copy(w.hedge[headroom:], h.SYN())
+		w.send(h.Server.Address, o.Codec.Encapsulate(w.hedge[:headroom+n], h.Server, h.Server.Token))
+		o.Log.Info("flow hedged", "caller", h.Key.Caller.AddrPort().String(), "route", h.Key.Route.AddrPort().String(),
+			"server", h.Server.ID, "zone", h.Server.Zone)
+	}
 }
 
 // resetLostFlows resets flows whose server cannot continue them, at most maxResetsPerPacket
