request: slow idempotent requests are hedged

Cause: a request at a server that is slow, or silent, waits for it, up to 2 s for a silent one, although other servers have free slots.

Change: a request of an idempotent kind whose body is in memory gets a second dispatch after the usual time of its class (95th percentile of the last minute), on a free slot of this instance and within hedge.limit. The first complete answer, or the first one that starts to be sent to the caller, wins; the other dispatch is cancelled and its slot released when it has ended. A cancelled dispatch counts as a timeout of its server if that has answered nothing since. The front end runs such dispatches in goroutines of their own and asks the engine before it streams an answer.

With limit 0 dispatches are as before.

--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -179,6 +179,7 @@
 			TenantBytes:    s.TenantBytes,
 			InstanceBytes:  s.InFlightBytes,
 			ShutdownNotice: i.settings.Shutdown.Notice,
+			HedgeLimit:     i.settings.Hedge.Limit,
 		},
 		Seed: i.seed(),
 	})
--- a/internal/core/hedge/budget.go
+++ b/internal/core/hedge/budget.go
@@ -48,6 +48,15 @@
 
 // Take records a hedge if the budget allows one, and reports whether it does.
 func (b *Budget) Take(now model.Time) bool {
+	if !b.Allows(now) {
+		return false
+	}
+	b.hedges[b.newest%(budgetSlots+1)]++
+	return true
+}
+
+// Allows reports whether the budget allows a hedge.
+func (b *Budget) Allows(now model.Time) bool {
 	b.advance(now)
 	oldest := (b.newest + 1) % (budgetSlots + 1)
 	var requests, hedges uint32
@@ -58,11 +67,7 @@
 		}
 	}
 	// The tolerance covers products such as 0.05*60, which can be slightly less than 3.
-	if float64(hedges)+1 > b.limit*float64(requests)+1e-9 {
-		return false
-	}
-	b.hedges[b.newest%(budgetSlots+1)]++
-	return true
+	return float64(hedges)+1 <= b.limit*float64(requests)+1e-9
 }
 
 // advance clears the slots that have ended since the last call.
--- a/internal/core/request/dispatch.go
+++ b/internal/core/request/dispatch.go
@@ -9,16 +9,20 @@
 // dispatchEnded handles the end of a dispatch.
 func (e *Engine) dispatchEnded(ev DispatchEnded) {
 	p := e.requests[ev.ID]
-	if p == nil || p.phase != phaseRunning || p.serial != ev.Serial {
+	if p == nil || !p.running(ev.Serial) {
+		e.cancelledEnded(ev)
 		return
 	}
-	server := p.slot.server.ID
-	health, observed := healthSignal(ev)
-	e.releaseSlot(p, observed, health, ev.Latency)
-	if observed {
-		e.emit(Observe{Observation{Server: server, Result: health, Latency: ev.Latency}})
+	if p.first != nil && !e.endOfTwo(p, ev) {
+		return
 	}
+	e.seeAnswer(p, ev)
+	server := p.inFlight.slot.server.ID
+	e.endDispatch(p.inFlight.slot, ev)
 	switch {
+	case p.errorAnswer != 0 && ev.Result != Answered && ev.Result != Cancelled && !ev.Forwarded:
+		p.inFlight.serial = p.errorAnswer
+		e.finish(p, model.OutcomeCompleted, model.ReasonNone, nil)
 	case ev.Result == Answered:
 		e.report(p, StateCompleted, ev.Answer)
 		e.finish(p, model.OutcomeCompleted, model.ReasonNone, nil)
@@ -35,6 +39,16 @@
 	}
 }
 
+// endDispatch releases the slot of a dispatch that has ended and reports what it says about the
+// server.
+func (e *Engine) endDispatch(s slotInUse, ev DispatchEnded) {
+	health, observed := healthSignal(ev)
+	e.releaseSlot(s, observed, health, ev.Latency)
+	if observed {
+		e.emit(Observe{Observation{Server: s.server.ID, Result: health, Latency: ev.Latency}})
+	}
+}
+
 // dispatchNotRun handles the end of a dispatch if the server certainly did not run the
 // request.
 func (e *Engine) dispatchNotRun(p *pending, ev DispatchEnded, server model.ServerID) {
@@ -121,11 +135,9 @@
 	}
 }
 
-// releaseSlot returns the slot of a request. A slot of this instance goes back to the
+// releaseSlot returns a slot. A slot of this instance goes back to the
 // pool and to the next queued request; a borrowed slot goes back to its lender.
-func (e *Engine) releaseSlot(p *pending, observed bool, h HealthSignal, latency time.Duration) {
-	s := p.slot
-	p.slot = slotInUse{}
+func (e *Engine) releaseSlot(s slotInUse, observed bool, h HealthSignal, latency time.Duration) {
 	switch {
 	case s.local:
 		e.pool.Release(e.now, s.allocation)
--- a/internal/core/request/engine.go
+++ b/internal/core/request/engine.go
@@ -32,6 +32,8 @@
 	// ResponseTimeout limits the wait for the status line and headers of an answer
 	// to an idempotent request, so that a retry is possible before the deadline.
 	ResponseTimeout time.Duration
+	// HedgeLimit is the number of hedges for each request of a service; 0 for none.
+	HedgeLimit float64
 }
 
 // Defaults of Settings, and other limits.
@@ -103,6 +105,7 @@
 	epochs map[model.InstanceID]Epoch
 	// acquiring holds the requests with an Acquire call in progress.
 	acquiring map[ID]model.ServiceID
+	hedging   hedging
 	timers    timers
 	actions   []Action
 	// shutdownSince is when a view first had ShuttingDown set.
@@ -137,6 +140,7 @@
 		acquiring: map[ID]model.ServiceID{},
 		epoch:     Epoch(max(rng.Uint64(), 1)),
 		epochs:    map[model.InstanceID]Epoch{},
+		hedging:   newHedging(settings.HedgeLimit),
 		lastLease: LeaseID(rng.Uint64() >> 16),
 	}
 }
@@ -158,6 +162,8 @@
 		e.admitReplied(ev)
 	case AcquireReplied:
 		e.acquireReplied(ev)
+	case AnswerStarted:
+		e.answerStarted(ev)
 	case DispatchEnded:
 		e.dispatchEnded(ev)
 	case CallerDisconnected:
@@ -179,8 +185,9 @@
 	return e.actions
 }
 
-// InProgress returns the number of requests that have not been finished.
-func (e *Engine) InProgress() int { return len(e.requests) }
+// InProgress returns the number of requests that have not been finished, and of cancelled
+// dispatches that have not ended.
+func (e *Engine) InProgress() int { return len(e.requests) + len(e.hedging.cancelled) }
 
 // LentSlots returns the number of slots lent to other instances.
 func (e *Engine) LentSlots() int { return len(e.leases) }
@@ -191,6 +198,7 @@
 	}
 	e.view = v
 	e.pool.SetView(v)
+	e.hedging.forgetServers(v)
 	if v != nil && v.ShuttingDown && !e.shuttingDown {
 		e.shuttingDown, e.shutdownSince = true, e.now
 	}
--- a/internal/core/request/lifecycle.go
+++ b/internal/core/request/lifecycle.go
@@ -41,9 +41,10 @@
 	permitted    bool // the owner has granted a permit, valid until permitEnd
 	permitEnd    model.Time
 
-	// slot is the local or borrowed slot that the request runs on.
-	slot       slotInUse
-	serial     uint32 // of the last dispatch
+	// inFlight is the dispatch in progress, on a local or borrowed slot; its serial is that
+	// of the last dispatch if there is none. first is the first one of two in progress.
+	inFlight   inFlight
+	first      *inFlight
 	dispatches int
 	// failed are the servers that shed the request or could not be reached. avoided
 	// are those that broke the connection or sent a truncated or mismatched answer;
@@ -58,6 +59,18 @@
 	// mayHaveRun is set once it is unknown whether a dispatch of an idempotent
 	// request ran.
 	mayHaveRun bool
+
+	// bodyComplete is set if the whole body is in memory.
+	bodyComplete bool
+	// waitsSince is when the last dispatch began that is not a hedge. hedgeSerial is the
+	// serial of the hedge; 0 if there was none.
+	waitsSince  model.Time
+	hedgeSerial uint32
+	// answering is set once the caller is being sent an answer that is still arriving.
+	answering bool
+	// errorAnswer is the serial of a dispatch that got a complete error answer while
+	// another one was in progress; 0 if there is none.
+	errorAnswer uint32
 }
 
 // slotInUse is a slot of this instance's pool or one borrowed from another instance.
@@ -83,6 +96,9 @@
 		return
 	}
 	e.budget(p.service.ID).AddRequest()
+	if e.hedging.limit > 0 {
+		e.hedging.budget(p.service.ID).AddRequest(e.now)
+	}
 	e.startTimer(timer{at: p.deadline, kind: timerDeadline, id: p.id})
 	e.emit(ReadBody{ID: p.id, MaxBody: p.service.MaxBody, Digest: !p.kind.Idempotent, Deadline: p.deadline})
 }
@@ -168,7 +184,7 @@
 	if p == nil || p.phase != phaseBody {
 		return
 	}
-	p.digest = ev.Digest
+	p.digest, p.bodyComplete = ev.Digest, ev.Complete
 	if p.kind.Idempotent {
 		e.dispatchOrQueue(p)
 		return
@@ -192,26 +208,32 @@
 // deadline, its permit or the view has expired.
 func (e *Engine) dispatch(p *pending) {
 	if reason := e.expiredReason(p); reason != model.ReasonNone {
-		e.releaseSlot(p, false, Success, 0)
+		e.releaseSlot(p.inFlight.slot, false, Success, 0)
 		e.refuse(p, reason)
 		return
 	}
 	p.phase = phaseRunning
-	p.serial++
 	p.dispatches++
+	p.inFlight.serial, p.inFlight.began = uint32(p.dispatches), e.now
 	notAfter := min(p.deadline, e.view.FreshUntil)
 	if p.permitted {
 		notAfter = min(notAfter, p.permitEnd)
 	}
 	d := Dispatch{
-		ID: p.id, Serial: p.serial, Server: p.slot.server, NotAfter: notAfter, Deadline: p.deadline,
+		ID: p.id, Serial: p.inFlight.serial, Server: p.inFlight.slot.server, NotAfter: notAfter, Deadline: p.deadline,
 		ResponseTimeout: p.deadline.Sub(e.now), Idempotent: p.kind.Idempotent, NewConnection: p.newConnection,
-		StoreAnswer: !p.kind.Idempotent,
+		StoreAnswer: !p.kind.Idempotent, Hedgeable: e.hedgeable(p),
 	}
 	if p.kind.Idempotent {
 		d.ResponseTimeout = min(d.ResponseTimeout, e.settings.ResponseTimeout)
 	}
 	e.emit(d)
+	if p.first == nil {
+		p.waitsSince = e.now
+		if d.Hedgeable && p.hedgeSerial == 0 {
+			e.startHedgeTimer(p)
+		}
+	}
 }
 
 // expiredReason returns why the request may no longer be dispatched: its deadline,
@@ -274,7 +296,8 @@
 
 func (e *Engine) finish(p *pending, o model.Outcome, r model.Reason, a *StoredAnswer) {
 	delete(e.requests, p.id)
-	f := Finish{ID: p.id, Outcome: o, Reason: r, Answer: a}
+	e.countHedge(p, o == model.OutcomeCompleted)
+	f := Finish{ID: p.id, Serial: p.inFlight.serial, Outcome: o, Reason: r, Answer: a}
 	if p.service != nil && p.kind != nil {
 		f.Tenant, f.Class = p.service.Tenant, p.kind.Class
 		if p.length != 0 {
--- a/internal/core/request/sim_test.go
+++ b/internal/core/request/sim_test.go
@@ -40,6 +40,8 @@
 	allowance    func(model.ServerID) int // slot limit of a cold server
 	// messages counts the messages between instances by kind.
 	messages map[string]int
+	// hedges counts what the engines counted of hedges.
+	hedges map[model.Reason]int
 }
 
 type simQueue []simEvent
@@ -92,7 +94,7 @@
 func newSim(seed uint64, config *model.Configuration, zones []model.Zone, perZone int) *sim {
 	s := &sim{
 		rng: rand.New(rand.NewPCG(seed, 1)), config: config, nodes: map[model.InstanceID]*node{},
-		servers: map[model.ServerID]*simServer{}, messages: map[string]int{},
+		servers: map[model.ServerID]*simServer{}, messages: map[string]int{}, hedges: map[model.Reason]int{},
 		network:      func(_, _ model.InstanceID) []time.Duration { return []time.Duration{3 * time.Millisecond} },
 		dial:         func(*node, *simServer) bool { return true },
 		handlerDelay: func() time.Duration { return 50 * time.Microsecond },
--- a/internal/core/request/simnode_test.go
+++ b/internal/core/request/simnode_test.go
@@ -11,6 +11,12 @@
 	"github.com/savorytiller/savorytiller/internal/core/view"
 )
 
+// dispatchKey identifies a dispatch of an instance.
+type dispatchKey struct {
+	id     request.ID
+	serial uint32
+}
+
 // node simulates an instance with its own clock, view and engine.
 type node struct {
 	sim    *sim
@@ -25,7 +31,8 @@
 	leaving     bool
 	pausedUntil time.Duration
 	requests    map[request.ID]*simRequest
-	calls       map[request.CallID]func(any)                // called with the reply
+	calls       map[request.CallID]func(any) // called with the reply
+	cancels     map[dispatchKey]func()
 	heldSince   map[model.ServerID]map[uint16]time.Duration // when this node came to hold each slot
 }
 
@@ -39,6 +46,7 @@
 	n.engine = request.New(n.sim.settings, rand.New(rand.NewPCG(n.sim.rng.Uint64(), 2)))
 	n.requests = map[request.ID]*simRequest{}
 	n.calls = map[request.CallID]func(any){}
+	n.cancels = map[dispatchKey]func(){}
 	n.publishView()
 	n.renewView(n.run)
 }
@@ -169,9 +177,15 @@
 	switch a := a.(type) {
 	case request.ReadBody:
 		r := n.requests[a.ID]
-		n.runHandler(func() { n.post(request.BodyRead{ID: a.ID, Digest: r.digest}) })
+		n.runHandler(func() { n.post(request.BodyRead{ID: a.ID, Digest: r.digest, Complete: true}) })
 	case request.Dispatch:
 		n.dispatch(a)
+	case request.CancelDispatch:
+		if cancel := n.cancels[dispatchKey{a.ID, a.Serial}]; cancel != nil {
+			n.runHandler(cancel)
+		}
+	case request.CountHedge:
+		n.sim.hedges[a.Reason]++
 	case request.Finish:
 		r := n.requests[a.ID]
 		delete(n.requests, a.ID)
@@ -296,11 +310,13 @@
 		once := func(res request.DispatchEnded) {
 			if n.run == run && n.up && !ended {
 				ended = true
+				delete(n.cancels, dispatchKey{d.ID, d.Serial})
 				// Closing the connection cancels the request at the server.
 				n.sim.at(200*time.Microsecond, stop)
 				end(res)
 			}
 		}
+		n.cancels[dispatchKey{d.ID, d.Serial}] = func() { once(request.DispatchEnded{Result: request.Cancelled, Replayable: true}) }
 		n.sim.at(200*time.Microsecond, func() {
 			stop = srv.receive(n.sim, r, func(res request.DispatchEnded, delay time.Duration) {
 				n.sim.at(delay, func() {
--- a/internal/core/request/slots.go
+++ b/internal/core/request/slots.go
@@ -65,7 +65,7 @@
 	q.waiting[p.kind.Class] = append(q.waiting[p.kind.Class], p)
 	q.size++
 	e.pool.AddWaiting(e.now, p.service.ID, p.kind.Class, 1)
-	e.startTimer(timer{at: e.now.Add(e.settings.QueueWait), kind: timerQueue, id: p.id, serial: p.serial})
+	e.startTimer(timer{at: e.now.Add(e.settings.QueueWait), kind: timerQueue, id: p.id, serial: p.inFlight.serial})
 	e.acquireRemote(p)
 }
 
@@ -79,7 +79,7 @@
 	if !ok {
 		return false
 	}
-	p.slot = slotInUse{local: true, allocation: alloc, server: e.view.Servers[alloc.Server]}
+	p.inFlight.slot = slotInUse{local: true, allocation: alloc, server: e.view.Servers[alloc.Server]}
 	return true
 }
 
@@ -126,7 +126,7 @@
 // queueTimeout refuses a request that is still queued after QueueWait.
 func (e *Engine) queueTimeout(id ID, serial uint32) {
 	p := e.requests[id]
-	if p == nil || !p.queued || p.serial != serial {
+	if p == nil || !p.queued || p.inFlight.serial != serial {
 		return
 	}
 	e.dequeue(p)
@@ -263,7 +263,7 @@
 		return
 	}
 	e.dequeue(p)
-	p.slot = slotInUse{lender: lender, lease: ev.Lease, server: server}
+	p.inFlight.slot = slotInUse{lender: lender, lease: ev.Lease, server: server}
 	e.dispatch(p)
 }
 
--- a/internal/core/request/timers.go
+++ b/internal/core/request/timers.go
@@ -13,6 +13,7 @@
 	timerDeadline
 	timerLease
 	timerParked
+	timerHedge
 )
 
 type timer struct {
@@ -64,6 +65,8 @@
 			e.deadlinePassed(t.id)
 		case timerLease:
 			e.endLease(t.lease)
+		case timerHedge:
+			e.hedge(t.id, t.serial)
 		case timerParked:
 			e.replyToParked(e.dedup.expireParked(e.now, t.key))
 		}
--- a/internal/core/request/types.go
+++ b/internal/core/request/types.go
@@ -205,6 +205,8 @@
 		// Content-Digest header and the buffered start of the body. It is 0 if
 		// ReadBody.Digest was not set.
 		Digest uint64
+		// Complete is set if that is the whole body, so that it can be sent several times.
+		Complete bool
 	}
 	// BodyInvalid follows ReadBody: the body cannot be read or is too large.
 	BodyInvalid struct {
@@ -225,6 +227,13 @@
 		Grant  Grant
 		Failed bool
 	}
+	// AnswerStarted reports that a dispatch with Hedgeable set gets an answer that is sent
+	// to the caller while it arrives. ForwardAnswer follows unless the dispatch is
+	// cancelled.
+	AnswerStarted struct {
+		ID     ID
+		Serial uint32
+	}
 	// DispatchEnded reports the end of a Dispatch.
 	DispatchEnded struct {
 		ID ID
@@ -283,6 +292,7 @@
 func (BodyInvalid) event()        {}
 func (AdmitReplied) event()       {}
 func (AcquireReplied) event()     {}
+func (AnswerStarted) event()      {}
 func (DispatchEnded) event()      {}
 func (CallerDisconnected) event() {}
 func (PeerAdmit) event()          {}
@@ -322,14 +332,32 @@
 		// NewConnection requests a new connection instead of a reused one, because an
 		// earlier dispatch got no response or lost its connection.
 		NewConnection bool
+		// Hedgeable means that a second Dispatch of the request may follow before this one
+		// has ended, and that an answer is sent to the caller only after AnswerStarted or
+		// DispatchEnded has been accepted.
+		Hedgeable bool
 		// StoreAnswer requests that DispatchEnded contains the answer if it is small
 		// enough to be stored.
 		StoreAnswer bool
 	}
+	// ForwardAnswer makes the front end send the answer of a dispatch to the caller while it
+	// arrives.
+	ForwardAnswer struct {
+		ID     ID
+		Serial uint32
+	}
+	// CancelDispatch cancels a dispatch whose answer is not needed. DispatchEnded follows.
+	CancelDispatch struct {
+		ID     ID
+		Serial uint32
+	}
+	// CountHedge counts a hedge, or why there was none.
+	CountHedge struct{ Reason model.Reason }
 	// Finish ends a request. With OutcomeCompleted and no Answer, the front end
-	// forwards the answer of the last dispatch.
+	// forwards the answer of the dispatch with the given serial.
 	Finish struct {
 		ID      ID
+		Serial  uint32
 		Outcome model.Outcome
 		Reason  model.Reason
 		Answer  *StoredAnswer
@@ -382,6 +410,9 @@
 
 func (ReadBody) action()       {}
 func (Dispatch) action()       {}
+func (ForwardAnswer) action()  {}
+func (CancelDispatch) action() {}
+func (CountHedge) action()     {}
 func (Finish) action()         {}
 func (CallAdmit) action()      {}
 func (CallReport) action()     {}
--- a/internal/traffic/requests/serve.go
+++ b/internal/traffic/requests/serve.go
@@ -23,9 +23,9 @@
 	// maxBufferedAnswer is the size in bytes of the largest answer that is read
 	// completely before it is forwarded.
 	maxBufferedAnswer = 64 << 10
-	// maxActions is the maximum number of actions for one request: one ReadBody,
-	// MaxDispatches times Dispatch, and one Finish.
-	maxActions = request.MaxDispatches + 2
+	// maxActions is the maximum number of actions for one request: MaxDispatches times
+	// Dispatch, and one each of ReadBody, ForwardAnswer, CancelDispatch and Finish.
+	maxActions = request.MaxDispatches + 4
 )
 
 // Serve implements port.RequestServer.
@@ -62,9 +62,23 @@
 	started model.Time
 
 	body callerBody
-	// buffered is a complete answer that is forwarded on Finish.
-	buffered *bufferedAnswer
-	// forwarded is set before the first part of an answer is sent to the caller.
+	// buffered holds the complete answers, one of which is forwarded on Finish, by the
+	// serials of their dispatches. Each dispatch writes only its own element.
+	buffered [request.MaxDispatches + 1]*bufferedAnswer
+	// forwarded is set if part of an answer has been sent to the caller. The goroutines of
+	// hedgeable dispatches do not use it.
+	forwarded bool
+	// running holds the hedgeable dispatches, which run in their own goroutines, by serial.
+	running map[uint32]*hedgeable
+}
+
+// hedgeable is a dispatch that may run beside another one of the same request.
+type hedgeable struct {
+	cancel context.CancelFunc
+	// forward is closed when the answer may be sent to the caller while it arrives. Until
+	// ended is closed, the goroutine of the dispatch then owns the caller's answer.
+	forward, ended chan struct{}
+	// forwarded is set before ended is closed.
 	forwarded bool
 }
 
@@ -76,6 +90,8 @@
 
 func (h *handler) run(ctx context.Context) {
 	disconnected := ctx.Done()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	for {
 		select {
 		case a := <-h.actions:
@@ -83,7 +99,17 @@
 			case request.ReadBody:
 				h.w.post(queuedEvent{ev: h.readBody(a)})
 			case request.Dispatch:
-				h.w.post(queuedEvent{ev: h.dispatch(ctx, a)})
+				if a.Hedgeable {
+					h.start(ctx, a)
+				} else {
+					h.w.post(queuedEvent{ev: h.dispatch(ctx, a, nil)})
+				}
+			case request.ForwardAnswer:
+				h.forwardAnswer(a.Serial)
+			case request.CancelDispatch:
+				if d := h.running[a.Serial]; d != nil {
+					d.cancel()
+				}
 			case request.Finish:
 				h.finish(a)
 				return
@@ -124,8 +150,9 @@
 	case f.Outcome == model.OutcomeCompleted && f.Answer != nil:
 		h.forwardStored(f.Answer)
 		h.w.record(f.Reason, h.req.Incoming.Host, f.Outcome.String())
-	case f.Outcome == model.OutcomeCompleted && h.buffered != nil:
-		_ = h.answer.Forward(h.buffered.status, h.buffered.header, int64(len(h.buffered.body)), bytes.NewReader(h.buffered.body))
+	case f.Outcome == model.OutcomeCompleted && h.buffered[f.Serial] != nil:
+		a := h.buffered[f.Serial]
+		_ = h.answer.Forward(a.status, a.header, int64(len(a.body)), bytes.NewReader(a.body))
 		h.w.record(f.Reason, h.req.Incoming.Host, f.Outcome.String())
 	default:
 		h.refuse(f.Outcome, f.Reason)
@@ -153,7 +180,7 @@
 		}
 		return request.BodyInvalid{ID: h.id, Reason: reason}
 	}
-	ev := request.BodyRead{ID: h.id}
+	ev := request.BodyRead{ID: h.id, Complete: h.body.complete}
 	if a.Digest {
 		ev.Digest = h.digest()
 	}
@@ -177,8 +204,33 @@
 	return max(d.Sum64(), 1)
 }
 
-// dispatch sends the request to a server and returns the result.
-func (h *handler) dispatch(ctx context.Context, d request.Dispatch) request.Event {
+// start runs a hedgeable dispatch in a goroutine, which ends with the request at the latest.
+func (h *handler) start(ctx context.Context, d request.Dispatch) {
+	ctx, cancel := context.WithCancel(ctx)
+	running := &hedgeable{cancel: cancel, forward: make(chan struct{}), ended: make(chan struct{})}
+	if h.running == nil {
+		h.running = map[uint32]*hedgeable{}
+	}
+	h.running[d.Serial] = running
+	go func() {
+		defer cancel()
+		ev := h.dispatch(ctx, d, running)
+		close(running.ended)
+		h.w.post(queuedEvent{ev: ev})
+	}()
+}
+
+// forwardAnswer lets a hedgeable dispatch send its answer to the caller and waits for its end.
+func (h *handler) forwardAnswer(serial uint32) {
+	running := h.running[serial]
+	close(running.forward)
+	<-running.ended
+	h.forwarded = running.forwarded
+}
+
+// dispatch sends the request to a server and returns the result. running is nil unless the
+// dispatch is hedgeable.
+func (h *handler) dispatch(ctx context.Context, d request.Dispatch, running *hedgeable) request.Event {
 	now := h.w.options.Clock.Now()
 	ev := request.DispatchEnded{ID: h.id, Serial: d.Serial}
 	ctx, cancel := context.WithTimeout(ctx, d.Deadline.Sub(now))
@@ -204,11 +256,10 @@
 		defer answer.Body.Close()
 	}
 	if answer.Result == request.Answered {
-		h.receiveAnswer(ctx, d, answer, &ev)
+		h.receiveAnswer(ctx, d, answer, &ev, running)
 	}
 	streamed, bodyErr := body.stop()
 	ev.Replayable = !streamed
-	ev.Forwarded = h.forwarded
 	ev.Latency = h.w.options.Clock.Now().Sub(now)
 	if ev.Result == request.NotSent && ctx.Err() != nil {
 		// The caller disconnected or its deadline passed. TooLate and a body that is
@@ -238,8 +289,9 @@
 
 // receiveAnswer reads an answer. A short one is buffered completely, so that no part of
 // a truncated answer is sent to the caller; a long one is streamed to the caller. An
-// answer of unknown length (-1) is buffered until it exceeds maxBufferedAnswer.
-func (h *handler) receiveAnswer(ctx context.Context, d request.Dispatch, a port.BackendAnswer, ev *request.DispatchEnded) {
+// answer of unknown length (-1) is buffered until it exceeds maxBufferedAnswer. A hedgeable
+// dispatch streams only once the engine has chosen its answer.
+func (h *handler) receiveAnswer(ctx context.Context, d request.Dispatch, a port.BackendAnswer, ev *request.DispatchEnded, running *hedgeable) {
 	short := a.Length <= maxBufferedAnswer
 	var start []byte
 	if short {
@@ -250,14 +302,20 @@
 			return
 		}
 		if len(start) <= maxBufferedAnswer {
-			h.buffered = &bufferedAnswer{status: a.Status, header: a.Header, body: start}
+			h.buffered[d.Serial] = &bufferedAnswer{status: a.Status, header: a.Header, body: start}
 			if d.StoreAnswer && len(start) <= request.MaxStoredAnswerBytes {
 				ev.Answer = &request.StoredAnswer{Status: a.Status, Body: start, ContentType: firstValue(a.Header["Content-Type"])}
 			}
 			return
 		}
 	}
-	h.forwarded = true
+	ev.Forwarded = true
+	if running == nil {
+		h.forwarded = true
+	} else if running.forwarded = h.mayForward(ctx, d.Serial, running); !running.forwarded {
+		ev.Result, ev.Forwarded = request.Cancelled, false
+		return
+	}
 	source := &errorRecorder{source: io.MultiReader(bytes.NewReader(start), a.Body)}
 	if err := h.answer.Forward(a.Status, a.Header, a.Length, source); err != nil {
 		ev.Result = request.Cancelled
@@ -267,6 +325,18 @@
 	}
 }
 
+// mayForward asks the engine whether the answer of a hedgeable dispatch may be sent to the
+// caller, and reports false if the dispatch is cancelled.
+func (h *handler) mayForward(ctx context.Context, serial uint32, running *hedgeable) bool {
+	h.w.post(queuedEvent{ev: request.AnswerStarted{ID: h.id, Serial: serial}})
+	select {
+	case <-running.forward:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 func firstValue(values []string) string {
 	if len(values) == 0 {
 		return ""
--- a/internal/traffic/requests/worker.go
+++ b/internal/traffic/requests/worker.go
@@ -17,6 +17,9 @@
 // Part is the name of the request worker in metrics, logs and decisions.
 const Part = "request"
 
+// partHedge is the name under which hedged requests are counted.
+const partHedge = "hedge"
+
 // DefaultQueueSize is the default of Options.QueueSize.
 const DefaultQueueSize = 1024
 
@@ -145,6 +148,14 @@
 		w.sendAction(a.ID, a)
 	case request.Dispatch:
 		w.sendAction(a.ID, a)
+	case request.ForwardAnswer:
+		w.sendAction(a.ID, a)
+	case request.CancelDispatch:
+		w.sendAction(a.ID, a)
+	case request.CountHedge:
+		if w.options.Recorder != nil {
+			w.options.Recorder.Count(partHedge, a.Reason)
+		}
 	case request.Finish:
 		w.sendAction(a.ID, a)
 		delete(w.actions, a.ID)
