--- a/internal/core/hedge/hedge_test.go
+++ b/internal/core/hedge/hedge_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -150,3 +151,48 @@
 		b.Take(now)
 	}))
 }
+
+// Guards against a delay that is no better than the simple alternatives: to repeat a request at
+// once, or after a fixed time. Without queues and limits, so that only the rules differ.
+func TestDelayAgainstAlternatives(t *testing.T) {
+	type rule struct {
+		p99   time.Duration
+		extra float64 // repetitions for each request
+	}
+	measure := func(usual time.Duration, delay func(d *Delay, now model.Time) (time.Duration, bool)) rule {
+		random := rand.New(rand.NewPCG(1, 1))
+		took := func() time.Duration {
+			d := usual + time.Duration(random.Int64N(int64(usual/3)))
+			if random.Float64() < 0.03 {
+				d *= 7
+			}
+			return d
+		}
+		var d Delay
+		var times []time.Duration
+		repeated := 0
+		for i := range 10_000 {
+			now := second + model.Time(i)*second/100
+			first := took()
+			if wait, ok := delay(&d, now); ok && first > wait {
+				first = min(first, wait+took())
+				repeated++
+			}
+			d.Observe(now, first)
+			times = append(times, first)
+		}
+		slices.Sort(times)
+		return rule{times[9900], float64(repeated) / 10_000}
+	}
+	for _, usual := range []time.Duration{30 * time.Millisecond, 90 * time.Millisecond} {
+		never := measure(usual, func(*Delay, model.Time) (time.Duration, bool) { return 0, false })
+		atOnce := measure(usual, func(*Delay, model.Time) (time.Duration, bool) { return 0, true })
+		fixed := measure(usual, func(*Delay, model.Time) (time.Duration, bool) { return 60 * time.Millisecond, true })
+		measured := measure(usual, (*Delay).Usual)
+		t.Logf("usually %v to %v, 3 %% seven times as long: p99 and extra work: never %v %.1f %%, at once %v %.1f %%, after 60 ms %v %.1f %%, after the 95th percentile %v %.1f %%",
+			usual, usual*4/3, never.p99, 100*never.extra, atOnce.p99, 100*atOnce.extra, fixed.p99, 100*fixed.extra, measured.p99, 100*measured.extra)
+		require.Less(t, measured.p99, never.p99/2)
+		require.Less(t, measured.extra, 0.06)
+		require.Less(t, measured.extra, atOnce.extra/10)
+	}
+}
