request: a silent server is noticed although hedges answer in its place

Cause: a cancelled dispatch counted as a timeout of its server only after 200 ms. Reads of 30 to 40 ms are hedged after about 40 ms and answered at 78 ms, so a server that never answers got no timeout and kept taking hedges.

Change: once a server has answered nothing for the response timeout (2 s), each cancelled dispatch counts as a timeout, however short it was. The tests also cover what trials with changed code showed to be missing: a third server for a SYN, copies to cold servers, a class with idempotent and other kinds, cold and leaving second servers of requests.

--- a/internal/core/request/dispatch.go
+++ b/internal/core/request/dispatch.go
@@ -18,7 +18,8 @@
 	}
 	e.seeAnswer(p, ev)
 	server := p.inFlight.slot.server.ID
-	e.endDispatch(p.inFlight.slot, ev)
+	health, observed := healthSignal(ev)
+	e.endDispatch(p.inFlight.slot, health, observed, ev.Latency)
 	switch {
 	case p.errorAnswer != 0 && ev.Result != Answered && ev.Result != Cancelled && !ev.Forwarded:
 		p.inFlight.serial = p.errorAnswer
@@ -40,12 +41,11 @@
 }
 
 // endDispatch releases the slot of a dispatch that has ended and reports what it says about the
-// server.
-func (e *Engine) endDispatch(s slotInUse, ev DispatchEnded) {
-	health, observed := healthSignal(ev)
-	e.releaseSlot(s, observed, health, ev.Latency)
+// server, if anything.
+func (e *Engine) endDispatch(s slotInUse, health HealthSignal, observed bool, latency time.Duration) {
+	e.releaseSlot(s, observed, health, latency)
 	if observed {
-		e.emit(Observe{Observation{Server: s.server.ID, Result: health, Latency: ev.Latency}})
+		e.emit(Observe{Observation{Server: s.server.ID, Result: health, Latency: latency}})
 	}
 }
 
--- a/internal/core/request/hedge.go
+++ b/internal/core/request/hedge.go
@@ -15,8 +15,9 @@
 	delays  map[classKey]*hedge.Delay
 	// cancelled holds the dispatches that are not needed any more until they have ended.
 	cancelled map[dispatchKey]inFlight
-	// answeredAt is when each server last sent a complete answer.
-	answeredAt map[model.ServerID]model.Time
+	// silentSince is when the first dispatch began that was cancelled since the last complete
+	// answer of a server. Servers whose last dispatch was answered are not in the map.
+	silentSince map[model.ServerID]model.Time
 }
 
 type classKey struct {
@@ -38,7 +39,7 @@
 
 func newHedging(limit float64) hedging {
 	return hedging{limit: limit, budgets: map[model.ServiceID]*hedge.Budget{}, delays: map[classKey]*hedge.Delay{},
-		cancelled: map[dispatchKey]inFlight{}, answeredAt: map[model.ServerID]model.Time{}}
+		cancelled: map[dispatchKey]inFlight{}, silentSince: map[model.ServerID]model.Time{}}
 }
 
 func (h *hedging) budget(service model.ServiceID) *hedge.Budget {
@@ -171,10 +172,12 @@
 		return true
 	}
 	server := p.inFlight.slot.server.ID
-	e.endDispatch(p.inFlight.slot, ev)
+	health, observed := healthSignal(ev)
+	e.endDispatch(p.inFlight.slot, health, observed, ev.Latency)
 	p.inFlight = *other
 	if failedAnswer {
 		p.errorAnswer = ev.Serial
+		delete(e.hedging.silentSince, server)
 	}
 	if ev.Result == NotSent || ev.Result == ShedByServer {
 		p.failed = append(p.failed, server)
@@ -185,7 +188,10 @@
 	return false
 }
 
-// cancelledEnded releases the slot of a dispatch that was cancelled.
+// cancelledEnded releases the slot of a dispatch that was cancelled. If the server has answered
+// nothing within the response timeout, that counts as a timeout of the server, however
+// short the dispatch was. Otherwise a server that never answers would not be noticed while
+// others answer in its place.
 func (e *Engine) cancelledEnded(ev DispatchEnded) {
 	key := dispatchKey{ev.ID, ev.Serial}
 	f, ok := e.hedging.cancelled[key]
@@ -193,12 +199,19 @@
 		return
 	}
 	delete(e.hedging.cancelled, key)
-	if ev.Result == Cancelled && !e.hedging.answeredAt[f.slot.server.ID].After(f.began) {
-		// The server has answered nothing since the dispatch began. Without this evidence, a
-		// server that never answers would not be noticed while others answer in its place.
-		ev.DeadlinePassed = true
+	server := f.slot.server.ID
+	since, silent := e.hedging.silentSince[server]
+	switch {
+	case ev.Result == Answered:
+		delete(e.hedging.silentSince, server)
+	case ev.Result == Cancelled && !silent:
+		e.hedging.silentSince[server] = f.began
+	case ev.Result == Cancelled && e.now.Sub(since) >= e.settings.ResponseTimeout:
+		e.endDispatch(f.slot, Timeout, true, ev.Latency)
+		return
 	}
-	e.endDispatch(f.slot, ev)
+	health, observed := healthSignal(ev)
+	e.endDispatch(f.slot, health, observed, ev.Latency)
 }
 
 // seeAnswer records a complete answer for the response times and the health of the server.
@@ -206,7 +219,7 @@
 	if e.hedging.limit == 0 || ev.Result != Answered {
 		return
 	}
-	e.hedging.answeredAt[p.inFlight.slot.server.ID] = e.now
+	delete(e.hedging.silentSince, p.inFlight.slot.server.ID)
 	if p.kind.Idempotent && !p.answering && ev.Status < 500 {
 		e.hedging.delay(p).Observe(e.now, e.now.Sub(p.waitsSince))
 	}
@@ -225,9 +238,9 @@
 
 // forgetServers removes what is known of servers that the view does not list.
 func (h *hedging) forgetServers(v *view.View) {
-	for id := range h.answeredAt {
+	for id := range h.silentSince {
 		if v == nil || v.Servers[id] == nil {
-			delete(h.answeredAt, id)
+			delete(h.silentSince, id)
 		}
 	}
 }
--- a/internal/core/request/hedge_test.go
+++ b/internal/core/request/hedge_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"testing"
 	"time"
 
@@ -19,6 +20,8 @@
 	*sim
 	load *loadGenerator
 	runs int // at servers, of reads that began after the start of the statistics
+	// timeouts counts the observed timeouts of servers.
+	timeouts map[model.ServerID]int
 }
 
 const (
@@ -28,7 +31,12 @@
 
 func newHedgeSim(seed uint64, limit float64, classes ...classLoad) *hedgeSim {
 	zones := []model.Zone{"halle-a"}
-	h := &hedgeSim{sim: newSim(seed, simConfig(zones, 30, 2), zones, 4)}
+	h := &hedgeSim{sim: newSim(seed, simConfig(zones, 30, 2), zones, 4), timeouts: map[model.ServerID]int{}}
+	h.observe = func(_ *node, o request.Observation) {
+		if o.Result == request.Timeout {
+			h.timeouts[o.Server]++
+		}
+	}
 	h.settings.HedgeLimit = limit
 	for _, srv := range h.servers {
 		srv.capacity = 1 << 20
@@ -82,7 +90,8 @@
 		begin func(h *hedgeSim)
 		check func(plain, h *hedgeSim, before, after []time.Duration)
 	}{
-		{"tail", 0.1, 400, tail, func(_, _ *hedgeSim, before, after []time.Duration) {
+		{"tail", 0.1, 400, tail, func(_, h *hedgeSim, before, after []time.Duration) {
+			require.Empty(t, h.timeouts)
 			require.Less(t, percentile(after, 0.99), percentile(before, 0.99)/2)
 		}},
 		{"one slow server", 0.1, 400, func(h *hedgeSim) {
@@ -93,6 +102,8 @@
 		{"one silent server", 0.1, 400, func(h *hedgeSim) { h.servers["line-halle-a-1"].silent = true }, func(plain, h *hedgeSim, _, after []time.Duration) {
 			require.Less(t, percentile(after, 0.99), 100*time.Millisecond)
 			require.Less(t, h.load.stats["reads"].refused, plain.load.stats["reads"].refused)
+			require.Greater(t, h.timeouts["line-halle-a-1"], 100, "the server is noticed although others answer in its place")
+			require.Len(t, h.timeouts, 1)
 		}},
 		{"all slow", 0.1, 400, func(h *hedgeSim) { all(h, func() time.Duration { return 3 * h.usual() }) }, func(_, h *hedgeSim, _, _ []time.Duration) {
 			require.NotZero(t, h.hedges[model.ReasonHedgeDeniedCapacity])
@@ -132,6 +143,7 @@
 		h := newHedgeSim(rapid.Uint64().Draw(rt, "seed"), 0.2, classLoad{name: "reads", method: "GET", rate: 100, until: 15 * time.Second},
 			classLoad{name: "writes", method: "POST", rate: 30, until: 15 * time.Second})
 		h.load.timeout = 400 * time.Millisecond
+		h.config.Services[0].Kinds[1].Class = "writes" // the usual times of a class don't depend on the kind
 		cold := model.ServerID("line-halle-a-2")
 		h.warmth = func(id model.ServerID) view.Warmth {
 			if id == cold && h.now > 8*time.Second {
@@ -189,33 +201,67 @@
 	require.NotZero(t, hedged)
 }
 
-// hedgedRead drives an engine until a read has two dispatches in progress.
-func hedgedRead(t *testing.T) (d *engineDriver, id request.ID, first, second request.Dispatch) {
+// overdueRead drives an engine until a read takes longer than usual. hedges is what the engine
+// does then; prepare is called before.
+func overdueRead(t *testing.T, prepare func(d *engineDriver, first request.Dispatch)) (d *engineDriver, first request.Dispatch, hedges []request.Action) {
 	d = newEngineDriver(request.Settings{HedgeLimit: 0.2}, 8)
 	d.n.sim.config.Services[0].Servers = append(d.n.sim.config.Services[0].Servers, model.Server{ID: "line-2", Zone: "halle-a", Weight: 100, Slots: 8})
 	d.n.publishView()
 	d.n.sim.now += 10 * time.Second
 	d.n.publishView()
-	read := func() (request.ID, request.Dispatch) {
+	read := func() request.Dispatch {
 		d.renewView()
 		d.last++
 		d.handle(request.Arrived{ID: d.last, Req: request.Incoming{Host: "line", Method: "GET", Path: "/"}})
 		dispatch, ok := findAction[request.Dispatch](d.handle(request.BodyRead{ID: d.last, Complete: true}))
 		require.True(t, ok)
 		require.True(t, dispatch.Hedgeable)
-		return d.last, dispatch
+		return dispatch
 	}
 	for range 300 {
-		id, first = read()
+		first = read()
 		d.advance(50 * time.Millisecond)
-		d.handle(request.DispatchEnded{ID: id, Serial: first.Serial, Result: request.Answered, Status: 200})
+		d.handle(request.DispatchEnded{ID: first.ID, Serial: first.Serial, Result: request.Answered, Status: 200})
 	}
-	id, first = read()
+	first = read()
+	prepare(d, first)
 	d.advance(60 * time.Millisecond)
-	second, ok := findAction[request.Dispatch](d.handle(request.Tick{}))
-	require.True(t, ok)
-	require.NotEqual(t, first.Server.ID, second.Server.ID)
-	return d, id, first, second
+	return d, first, d.handle(request.Tick{})
+}
+
+// Guards against a hedge without a suitable server or after the answer has begun.
+func TestRequestsThatAreNotHedged(t *testing.T) {
+	second := func(d *engineDriver, first request.Dispatch) *view.Server {
+		v := *d.n.view
+		v.Servers = maps.Clone(v.Servers)
+		for id, s := range v.Servers {
+			if id != first.Server.ID {
+				changed := *s
+				v.Servers[id] = &changed
+			}
+		}
+		d.n.view = &v
+		for id, s := range v.Servers {
+			if id != first.Server.ID {
+				return s
+			}
+		}
+		return nil
+	}
+	for name, prepare := range map[string]func(d *engineDriver, first request.Dispatch){
+		"cold":      func(d *engineDriver, first request.Dispatch) { second(d, first).Warmth = view.Cold },
+		"leaving":   func(d *engineDriver, first request.Dispatch) { second(d, first).NewWork = false },
+		"not fresh": func(d *engineDriver, _ request.Dispatch) { v := *d.n.view; v.FreshUntil = d.now; d.n.view = &v },
+		"answer begun": func(d *engineDriver, first request.Dispatch) {
+			d.handle(request.AnswerStarted{ID: first.ID, Serial: 1})
+		},
+		"": func(d *engineDriver, first request.Dispatch) { second(d, first) },
+	} {
+		_, first, hedges := overdueRead(t, prepare)
+		hedge, hedged := findAction[request.Dispatch](hedges)
+		require.Equal(t, name == "", hedged, name)
+		require.True(t, !hedged || hedge.Server.ID != first.Server.ID)
+	}
 }
 
 // Guards against a wrong or missing answer, and against a slot that stays in use, when the two
@@ -241,7 +287,8 @@
 		"streamed":          {1, 2, end{Result: request.Cancelled}, end{Result: request.Answered, Status: 200, Forwarded: true}, model.OutcomeCompleted, 1, true},
 		"streamed, breaks":  {2, 2, end{Result: request.Truncated, Forwarded: true}, end{Result: request.Cancelled}, model.OutcomeUnknown, 0, true},
 	} {
-		d, id, _, _ := hedgedRead(t)
+		d, read, _ := overdueRead(t, func(*engineDriver, request.Dispatch) {})
+		id := read.ID
 		var actions []request.Action
 		if c.started != 0 {
 			actions = d.handle(request.AnswerStarted{ID: id, Serial: c.started})
--- a/internal/core/steering/hedge_test.go
+++ b/internal/core/steering/hedge_test.go
@@ -23,6 +23,7 @@
 	events []openingEvent
 	// answer returns the time from a SYN at a server to the caller's next packet; 0 for never.
 	answer  func(server *Server) time.Duration
+	scale   int // of the usual opening times
 	callers map[FlowKey]*openingCaller
 	// Flows that began before from are not counted.
 	from           model.Time
@@ -50,7 +51,7 @@
 }
 
 func newOpenings(t testing.TB, seed uint64, limit float64) *openings {
-	o := &openings{rig: newRig(t), random: rand.New(rand.NewPCG(seed, 3)), counts: map[model.Reason]int{}, callers: map[FlowKey]*openingCaller{}}
+	o := &openings{rig: newRig(t), scale: 1, random: rand.New(rand.NewPCG(seed, 3)), counts: map[model.Reason]int{}, callers: map[FlowKey]*openingCaller{}}
 	o.steerer = NewSteerer(o.random, 5)
 	o.steerer.SetHedgeLimit(limit)
 	o.publish(servers("a", "z", 30), servers("b", "z", 10))
@@ -58,9 +59,9 @@
 	return o
 }
 
-// usual returns a usual opening time: 20 to 30 ms.
+// usual returns a usual opening time: 20 to 30 ms times scale.
 func (o *openings) usual(*Server) time.Duration {
-	return 20*time.Millisecond + time.Duration(o.random.IntN(10_000))*time.Microsecond
+	return time.Duration(o.scale) * (20*time.Millisecond + time.Duration(o.random.IntN(10_000))*time.Microsecond)
 }
 
 func (o *openings) at(d time.Duration, run func()) {
@@ -104,14 +105,13 @@
 }
 
 // deliver simulates a server that gets a SYN. The flow opens at the server whose answer is first.
-func (o *openings) deliver(c *openingCaller, server *Server) {
-	recent := map[*Server]bool{server: true}
-	for _, s := range c.sent {
-		if o.now.Sub(s.at) < ResponseTimeout {
-			recent[s.server] = true
+// A SYN goes to another server only while no earlier one may still answer, except a hedged one.
+func (o *openings) deliver(c *openingCaller, server *Server, hedged bool) {
+	for i, s := range c.sent {
+		if s.server.ID != server.ID && o.now.Sub(s.at) < ResponseTimeout {
+			require.True(o.t, hedged && i == 0 || slices.ContainsFunc(c.sent, func(s sentSYN) bool { return s.server.ID == server.ID }), "third server")
 		}
 	}
-	require.LessOrEqual(o.t, len(recent), 2, "servers that may still answer")
 	c.sent = append(c.sent, sentSYN{server, o.now})
 	wait := o.answer(server)
 	if wait == 0 {
@@ -140,7 +140,7 @@
 		o.steerer.KeepSYN(p, []byte(fmt.Sprint(p.Key.Caller.Port)), o.now)
 	}
 	if p.IsSYN() && d.Action == Deliver {
-		o.deliver(o.callers[p.Key], d.Server)
+		o.deliver(o.callers[p.Key], d.Server, false)
 	}
 	for h, ok := o.steerer.TakeHedge(o.now); ok; h, ok = o.steerer.TakeHedge(o.now) {
 		if o.now >= o.from {
@@ -149,7 +149,9 @@
 		if h.Server != nil {
 			require.Equal(o.t, fmt.Sprint(h.Key.Caller.Port), string(h.SYN()))
 			require.False(o.t, o.callers[h.Key].done, "hedged after the caller's answer was seen")
-			o.deliver(o.callers[h.Key], h.Server)
+			second := o.steerer.targets[h.Server.Token]
+			require.False(o.t, second.server.ShouldAvoid(o.now, &second.Traffic), "copy to an avoided server")
+			o.deliver(o.callers[h.Key], h.Server, true)
 		}
 	}
 }
@@ -276,12 +278,13 @@
 			}
 			return o.usual(s)
 		}
-		cold, draining := o.random.IntN(20), o.random.IntN(20)
+		cold, coldServers, draining := o.random.IntN(2), 8+21*o.random.IntN(2), o.random.IntN(20)
+		o.scale = 1 + 2*o.random.IntN(2) // with 3, a copy may still be answered when the caller retransmits
 		o.at(11*time.Second, func() {
 			o.answer = answer
 			all := servers("a", "z", 30)
-			for i := range 8 {
-				all[cold+i].ColdUntil = o.now + 100*second
+			for i := range coldServers {
+				all[cold+i].ColdUntil, all[cold+i].ColdHome = o.now+100*second, true
 			}
 			for i := range 3 {
 				all[draining+i].State = model.ServerDraining
