--- a/internal/adapter/settings/steer_test.go
+++ b/internal/adapter/settings/steer_test.go
@@ -66,6 +66,7 @@
 		"link":          {`link_mbps = 10`, `link_mbps = -1`, "instance.link_mbps", "from 0"},
 		"boolean":       {`[bounds]`, "[admission]\nenabled = 1\n[bounds]", "admission.enabled", "true or false"},
 		"reserve":       {`[bounds]`, "[admission]\nreserve = 0.6\n[bounds]", "admission.reserve", "from 0 to 0.5"},
+		"hedge limit":   {`[bounds]`, "[hedge]\nlimit = 0.3\n[bounds]", "hedge.limit", "from 0 to 0.2"},
 		"unknown":       {`cold_margin = 5`, `warm_margin = 5`, "bounds.warm_margin", "docs/OPERATIONS.md"},
 	} {
 		_, err := ParseSteer("f", []byte(strings.Replace(steerExample, c.old, c.new, 1)))
--- a/internal/core/steering/preview.go
+++ b/internal/core/steering/preview.go
@@ -120,7 +120,7 @@
 	newSnapshot := s.snapshot != snapshot
 	if newSnapshot {
 		for token, t := range s.targets {
-			c.targets[token] = c.copyTarget(t)
+			c.targets[token] = c.targetCopy(t)
 		}
 	}
 	c.copyFlow(p.Key)
@@ -144,6 +144,7 @@
 		}
 	}
 	c.preview.records = len(s.flows) - len(c.flows)
+	c.copyHedges()
 	return &c
 }
 
@@ -166,13 +167,28 @@
 		return c
 	}
 	c := *f
-	c.target = s.copyTarget(f.target)
+	c.target = s.targetCopy(f.target)
 	s.preview.flows[f] = &c
 	return &c
 }
 
-// copyTarget returns the copy of a target of the original Steerer.
-func (s *Steerer) copyTarget(t *target) *target {
+// copyHedges copies the SYNs at second servers of the flows whose records were copied. Decide reads
+// and changes nothing else of hedged openings.
+func (s *Steerer) copyHedges() {
+	if s.hedging == nil {
+		return
+	}
+	copies := map[FlowKey]*flow{}
+	for key := range s.flows {
+		if f := s.hedging.copies[key]; f != nil {
+			copies[key] = s.copyRecord(f)
+		}
+	}
+	s.hedging = &hedging{limit: s.hedging.limit, services: map[string]*serviceHedging{}, copies: copies}
+}
+
+// targetCopy returns the copy of a target of the original Steerer.
+func (s *Steerer) targetCopy(t *target) *target {
 	if c := s.preview.targets[t]; c != nil {
 		return c
 	}
@@ -194,7 +210,7 @@
 	if t == nil {
 		return nil
 	}
-	return s.copyTarget(t)
+	return s.targetCopy(t)
 }
 
 // copy returns a copy of the tally, without the targets.
--- a/internal/core/steering/select.go
+++ b/internal/core/steering/select.go
@@ -91,36 +91,52 @@
 // that server if the load of the fleet is. r.avoid is only selected if there is no other and it
 // still accepts new flows.
 func (s *Steerer) selectServer(r request, now model.Time) (*target, *Placement) {
+	b := s.bestServer(&r, now)
+	if b.failing {
+		s.delayTrial(b.target, now)
+	}
+	if b.target == nil && r.avoid != nil && slices.Contains(r.service.Servers, r.avoid.server) && s.class(r.avoid, r.service, r.zone, 0, now) != classExcluded {
+		b.target = r.avoid
+	}
+	if b.target != nil {
+		b.target.StartTrial(now, 2*ResponseTimeout)
+		s.countColdFlow(b.target, now)
+	}
+	return b.target, b.placement
+}
+
+// selected is the best server for a new flow, with its class. target is nil if there is none.
+// placement and failing are set if the load of the fleet is known.
+type selected struct {
+	target    *target
+	class     int
+	placement *Placement
+	failing   bool
+}
+
+// bestServer returns the best server for a new flow besides r.avoid and does not count a flow to it.
+func (s *Steerer) bestServer(r *request, now model.Time) selected {
 	s.restoreRandom()
 	load := s.loads[r.service.Name]
 	if load == nil {
 		load = &serviceLoad{perOpenFlow: initialLoadPerFlow}
 		s.loads[r.service.Name] = load
 	}
-	var best *target
-	var placement *Placement
-	if view := s.usableView(r.service.Name, now); view == nil {
-		best = s.selectByCount(&r, load, now)
-	} else if c := s.selectByCompletion(&r, view, load, now); c != nil {
-		best, placement = c.target, c.placement()
-		if c.failing {
-			s.delayTrial(best, now)
-		}
-	}
-	if best == nil && r.avoid != nil && slices.Contains(r.service.Servers, r.avoid.server) && s.class(r.avoid, r.service, r.zone, 0, now) != classExcluded {
-		best = r.avoid
+	view := s.usableView(r.service.Name, now)
+	if view == nil {
+		c := s.selectByCount(r, load, now)
+		return selected{target: c.best, class: c.class}
 	}
-	if best != nil {
-		best.StartTrial(now, 2*ResponseTimeout)
-		s.countColdFlow(best, now)
+	c, class := s.selectByCompletion(r, view, load, now)
+	if c == nil {
+		return selected{class: class}
 	}
-	return best, placement
+	return selected{c.target, class, c.placement(), c.failing}
 }
 
-// selectByCount returns the server with the fewest requests in progress through this instance: in
-// the given zone while it has free slots, otherwise in any zone. It returns nil if no server
-// may get the flow.
-func (s *Steerer) selectByCount(r *request, load *serviceLoad, now model.Time) *target {
+// selectByCount chooses the server with the fewest requests in progress through this instance: in
+// the given zone while it has free slots, otherwise in any zone.
+func (s *Steerer) selectByCount(r *request, load *serviceLoad, now model.Time) choice {
 	c := choice{zone: r.zone, avoid: r.avoid, class: math.MaxInt, score: math.Inf(1)}
 	if n := len(r.service.Servers); n > scanLimit {
 		for range sampleSize {
@@ -133,7 +149,7 @@
 		}
 	}
 	load.see(c.flows, c.busy)
-	return c.best
+	return c
 }
 
 // see records the open flows of some servers and how many of them have a request in progress.
--- a/internal/traffic/packets/worker.go
+++ b/internal/traffic/packets/worker.go
@@ -23,6 +23,7 @@
 	part          = "flow"
 	partReset     = "flow_reset"
 	partAdmission = "admission"
+	partHedge     = "hedge"
 	// partOpen counts the connections that new flows open at servers, by cause.
 	partOpen = "flow_open"
 )
@@ -53,6 +54,7 @@
 	options Options
 	buffer  [bufferSize]byte
 	reset   [bufferSize]byte // the reset being sent
+	hedge   [bufferSize]byte // the SYN being sent to a second server
 	packet  steering.Packet  // the packet being processed
 	// lastPacket is when the last well-formed packet arrived. A shutdown waits until none
 	// arrive.
@@ -115,6 +117,7 @@
 	case steering.Deliver:
 		if decision.NewFlow {
 			o.Recorder.Count(partOpen, openingCause(&decision, p))
+			o.Steerer.KeepSYN(p, buffer[o.Codec.Headroom():], now)
 		}
 		w.send(decision.Server.Address, o.Codec.Encapsulate(buffer, decision.Server, decision.Server.Token))
 	case steering.Reset:
@@ -138,6 +141,24 @@
 		w.logShortage(&r)
 	}
 	w.resetLostFlows(snapshot, now)
+	w.hedgeOpenings(now)
+}
+
+// hedgeOpenings sends the SYNs that are due to second servers and counts how hedged openings
+// ended.
+func (w *Worker) hedgeOpenings(now model.Time) {
+	o := &w.options
+	for h, ok := o.Steerer.TakeHedge(now); ok; h, ok = o.Steerer.TakeHedge(now) {
+		o.Recorder.Count(partHedge, h.Reason)
+		if h.Server == nil {
+			continue
+		}
+		headroom := o.Codec.Headroom()
+		n := copy(w.hedge[headroom:], h.SYN())
+		w.send(h.Server.Address, o.Codec.Encapsulate(w.hedge[:headroom+n], h.Server, h.Server.Token))
+		o.Log.Info("flow hedged", "caller", h.Key.Caller.AddrPort().String(), "route", h.Key.Route.AddrPort().String(),
+			"server", h.Server.ID, "zone", h.Server.Zone)
+	}
 }
 
 // openingCause returns why a SYN is sent to the server of a decision: for a new flow, as a copy
