--- a/internal/adapter/operatorcli/whycause.go
+++ b/internal/adapter/operatorcli/whycause.go
@@ -9,6 +9,7 @@
 // Causes of what happened to a flow, as printed to operators.
 const (
 	causeUnknown          = "unknown: the log has no line about this flow"
+	causeMaybeRefused     = "unknown: the log has no line about this flow; a service was short of capacity then, and flows that are held or refused for that have no line of their own"
 	causeServed           = "none: the flow was placed, and the log shows no failure of its server or instance"
 	causeServerFailed     = "the server could not be reached; the flow was reset so that the caller can retry"
 	causeServerRemoved    = "the server ended or was removed from the registry; its flows were reset"
@@ -20,6 +21,8 @@
 	causeRouteRemoved     = "a configuration removed the route of the flow"
 	causeUnknownToken     = "the instance did not know the server whose token the packets carry"
 	causeNoServer         = "no server of the service could accept a new flow"
+	causeOverloaded       = "the service was short of capacity, and the limit for the priority of the route was reached; the flow was refused before it opened, so no request ran"
+	causeHeld             = "the service was short of capacity; the first packet was dropped so that the caller's retransmission is decided anew"
 	causeNoConfiguration  = "the instance had no configuration yet"
 	causeRegistryLost     = "the instance had lost contact with the registry and may have used an outdated view"
 	causeRegistryRestored = "the registry had been restored from a copy that lacked its latest changes"
@@ -33,7 +36,7 @@
 var causeOfReason = map[string]string{
 	"server_failed": causeServerFailed, "server_removed": causeServerRemoved, "unknown_service": causeNoRoute,
 	"route_removed": causeRouteRemoved, "unknown_token": causeUnknownToken, "no_capacity": causeNoServer,
-	"no_configuration": causeNoConfiguration,
+	"no_configuration": causeNoConfiguration, "overloaded": causeOverloaded, "held": causeHeld,
 }
 
 // viewWasBehind reports whether a flow was reset for lack of a route by an older configuration
@@ -96,6 +99,7 @@
 		}
 	}
 	if last == nil {
+		e.addRefusals(at, lines)
 		return e
 	}
 	if h.openedAt = e.Lines[0].At; at.IsZero() {
@@ -124,6 +128,27 @@
 	return e
 }
 
+// maxRefusalLines limits the lines about shortages that an explanation has. Each instance writes
+// one per second and service.
+const maxRefusalLines = 10
+
+// addRefusals adds lines about shortages of capacity around the time of the failure to the
+// explanation of a flow without any line.
+func (e *explanation) addRefusals(at time.Time, lines []logLine) {
+	for i := range lines {
+		l := &lines[i]
+		if l.isRefusal() && l.At.After(at.Add(-causeWindow)) && l.At.Before(at.Add(causeWindow)) && len(e.Lines) < maxRefusalLines {
+			e.Cause = causeMaybeRefused
+			e.Lines = append(e.Lines, *l)
+		}
+	}
+}
+
+// isRefusal reports whether the line states that new flows were held or refused.
+func (l *logLine) isRefusal() bool {
+	return strings.HasPrefix(l.Message, messageShortage) && l.Held+l.Overloaded > 0
+}
+
 // Weights of evidence. What the flow's own instance logged about itself outweighs
 // what other instances logged about the server, because those may be cut off.
 const (
@@ -132,11 +157,12 @@
 	instanceEvidence
 )
 
-// Log messages at the start and at the planned stop of an instance. The command
+// Log messages at the start and at the planned stop of an instance, and during a shortage. The command
 // also reads logs of older builds, so these texts must not change.
 const (
 	messageStarted       = "instance: started"
 	messageStopRequested = "instance: told to stop, serving until traffic has moved"
+	messageShortage      = "flow: capacity shortage " // followed by begins, continues or ends
 )
 
 // event is a change that shows only in a line together with earlier lines.
--- a/internal/adapter/steerstatus/status.go
+++ b/internal/adapter/steerstatus/status.go
@@ -1,10 +1,11 @@
 // Package steerstatus serves the metrics of an instance that forwards flows by tokens
-// as text, and its view of the configuration and of the backend servers as JSON.
+// as text, and its view of the configuration and of the backend servers, and where a new
+// flow would go, as JSON.
 package steerstatus
 
 import (
 	"cmp"
-	"encoding/json"
+	"context"
 	"fmt"
 	"net/http"
 	"slices"
@@ -20,6 +21,7 @@
 const (
 	MetricsPath = "/metrics"
 	StatusPath  = "/status"
+	WherePath   = "/where"
 )
 
 // Timeouts of the endpoints, so that a slow or broken client cannot occupy memory
@@ -27,6 +29,9 @@
 const (
 	headerTimeout   = 2 * time.Second
 	responseTimeout = 5 * time.Second
+	// trafficTimeout limits the wait for the traffic goroutine. It answers between two packets
+	// unless it has no processor time.
+	trafficTimeout = time.Second
 )
 
 // Status is an instance's view of the configuration and of the backend servers.
@@ -37,6 +42,8 @@
 	// Version is the version of the configuration in force, or 0 if there is none.
 	Version uint64 `json:"config_version"`
 	Routes  int    `json:"routes"`
+	// RouteTerms holds the routes, at most maxEntries of them.
+	RouteTerms []Route `json:"route_terms"`
 	// ConfirmedMsAgo is the time in milliseconds since this view was last confirmed to
 	// match the registry.
 	ConfirmedMsAgo int64 `json:"confirmed_ms_ago"`
@@ -57,8 +64,13 @@
 	// InstancesInZone is the number of live instances in the zone, including this one.
 	InstancesInZone int `json:"instances_in_zone"`
 	// Flows is the number of flow records.
-	Flows   int64    `json:"flows"`
-	Servers []Server `json:"servers"`
+	Flows int64 `json:"flows"`
+	// Load is the load of the fleet.
+	Load Load `json:"load"`
+	// Servers holds at most maxEntries of ServersTotal servers, with preference to those that
+	// fail or are slow.
+	Servers      []Server `json:"servers"`
+	ServersTotal int      `json:"servers_total"`
 }
 
 // UnusableEntry is an entry of the registry whose value is invalid.
@@ -84,6 +96,28 @@
 	// there was none.
 	ProbedMsAgo int64  `json:"probed_ms_ago"`
 	Token       uint32 `json:"token"`
+	Slots       int    `json:"slots"`
+	// Load is nil if nothing is known of it.
+	Load *ServerLoad `json:"load,omitempty"`
+	// Traffic is nil if the traffic goroutine did not state it, which it does for up to 1,000
+	// servers.
+	Traffic *ServerTraffic `json:"traffic,omitempty"`
+}
+
+// ServerTraffic is what the traffic goroutine of the instance knows of a server.
+type ServerTraffic struct {
+	// Flows and Busy count the open flows through this instance and, of these, the ones with a
+	// request in progress.
+	Flows int `json:"flows"`
+	Busy  int `json:"busy"`
+	// RelativeTime is the expected response time relative to the usual one, as decisions use it: 1
+	// with too few samples. Samples is the number of answers of the last 30 s, with a weight that
+	// decays with their age, and FailedShare the share of failed ones.
+	RelativeTime float64 `json:"relative_time"`
+	Samples      float64 `json:"samples"`
+	FailedShare  float64 `json:"failed_share"`
+	// Restriction is why the server gets no new flows or few; none otherwise.
+	Restriction string `json:"restriction"`
 }
 
 // Source provides the data of the endpoints. Its functions must be safe for concurrent
@@ -98,22 +132,31 @@
 	// Gauges returns additional gauges by name. It must return a new map each time,
 	// because the endpoint adds its own gauges to it.
 	Gauges func() map[string]float64
+	// ServerStatus returns what the traffic goroutine knows of the servers. It is optional.
+	ServerStatus func(context.Context) ([]steering.ServerStatus, error)
+	// Preview returns the decision that a SYN would get now.
+	Preview func(context.Context, *steering.Packet) (*steering.Preview, error)
 }
 
 // Server returns the HTTP server of the endpoints.
 func (s *Source) Server() *http.Server {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+MetricsPath, func(w http.ResponseWriter, _ *http.Request) { s.writeMetrics(w) })
-	mux.HandleFunc("GET "+StatusPath, func(w http.ResponseWriter, _ *http.Request) {
-		w.Header().Set("Content-Type", "application/json")
-		// An error means that the client has closed the connection.
-		_ = json.NewEncoder(w).Encode(s.status())
+	mux.HandleFunc("GET "+StatusPath, func(w http.ResponseWriter, r *http.Request) {
+		query := r.URL.Query()
+		status := s.status(Filter{Service: query.Get("service"), Zone: query.Get("zone")})
+		status.Servers = limitServers(status.Servers)
+		s.addTraffic(r.Context(), status.Servers)
+		respond(w, http.StatusOK, status)
 	})
+	mux.HandleFunc("GET "+WherePath, s.serveWhere)
 	return &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout, WriteTimeout: responseTimeout, IdleTimeout: responseTimeout}
 }
 
-func (s *Source) status() Status {
-	out := Status{Instance: s.Instance, Ready: s.Ready(), Flows: s.Flows(), RestoredMsAgo: -1, UnusableEntries: []UnusableEntry{}, Servers: []Server{}}
+// status returns the status with all servers that the filter selects.
+func (s *Source) status(f Filter) Status {
+	out := Status{Instance: s.Instance, Ready: s.Ready(), Flows: s.Flows(), RestoredMsAgo: -1, UnusableEntries: []UnusableEntry{}, Servers: []Server{},
+		RouteTerms: []Route{}, Load: Load{AgeMs: -1, Reason: "no configuration yet", Instances: map[string]int{}, Zones: []ZoneLoad{}}}
 	v, now := s.Snapshots.Snapshot(), s.Clock.Now()
 	if v == nil {
 		return out
@@ -127,17 +170,42 @@
 	for _, e := range v.Registry.UnusableEntries {
 		out.UnusableEntries = append(out.UnusableEntries, UnusableEntry{e.Key, e.Revision, e.Reason, now.Sub(e.Since).Milliseconds()})
 	}
+	out.RouteTerms, out.Load = routesOf(v), loadOf(v, now, f)
 	for _, server := range v.Servers.Sorted() {
-		probed := int64(-1)
-		if server.ProbeSentAt != 0 {
-			probed = now.Sub(server.ProbeSentAt).Milliseconds()
+		if !f.matches(server.Service, string(server.Zone)) {
+			continue
 		}
 		out.Servers = append(out.Servers, Server{ID: string(server.ID), Service: server.Service, Zone: string(server.Zone),
-			Address: server.Address.String(), State: serverState(server, v, now), ProbedMsAgo: probed, Token: uint32(server.Token)})
+			Address: server.Address.String(), State: serverState(server, v, now), ProbedMsAgo: millisecondsAgo(server.ProbeSentAt, now), Token: uint32(server.Token),
+			Slots: server.Slots, Load: serverLoad(server, v, now)})
 	}
+	out.ServersTotal = len(out.Servers)
 	return out
 }
 
+// addTraffic adds what the traffic goroutine knows of the servers, if it answers in time.
+func (s *Source) addTraffic(ctx context.Context, servers []Server) {
+	if s.ServerStatus == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, trafficTimeout)
+	defer cancel()
+	all, err := s.ServerStatus(ctx)
+	if err != nil {
+		return // the status without it is useful, especially then
+	}
+	byToken := make(map[steering.Token]*steering.ServerStatus, len(all))
+	for i := range all {
+		byToken[all[i].Token] = &all[i]
+	}
+	for i := range servers {
+		if x := byToken[steering.Token(servers[i].Token)]; x != nil && string(x.ID) == servers[i].ID {
+			servers[i].Traffic = &ServerTraffic{Flows: x.Flows, Busy: x.Busy, RelativeTime: round(x.RelativeTime), Samples: round(x.Samples),
+				FailedShare: round(x.FailedShare), Restriction: x.Restriction.String()}
+		}
+	}
+}
+
 func serverState(s *steering.Server, v *steering.Snapshot, now model.Time) string {
 	held, _ := s.Held(now)
 	switch {
@@ -174,7 +242,7 @@
 		fmt.Fprintf(w, "latency_ms{%s,quantile=\"0.99\"} %.1f\n", labels, h.P99Ms)
 		fmt.Fprintf(w, "latency_ms{%s,quantile=\"1\"} %.1f\n", labels, h.MaxMs)
 	}
-	status := s.status()
+	status := s.status(Filter{})
 	gauges := s.Gauges()
 	gauges["flows"] = float64(status.Flows)
 	gauges["config_version"] = float64(status.Version)
@@ -184,8 +252,16 @@
 	gauges["registry_unusable_keys"] = float64(len(status.UnusableEntries))
 	gauges["instances_in_zone"] = float64(status.InstancesInZone)
 	states := map[string]int{}
+	gauges["servers_failing"], gauges["servers_slow"] = 0, 0
 	for i := range status.Servers {
 		states[status.Servers[i].State]++
+		switch load := status.Servers[i].Load; {
+		case load == nil || load.Samples < minJudgedSamples:
+		case load.FailedShare > failingShare:
+			gauges["servers_failing"]++
+		case load.RelativeLatency > slowRatio:
+			gauges["servers_slow"]++
+		}
 	}
 	for state, n := range states {
 		gauges["servers_"+state] = float64(n)
--- a/internal/core/admission/admission.go
+++ b/internal/core/admission/admission.go
@@ -136,6 +136,15 @@
 	return &Controller{settings: s, services: map[string]*service{}}
 }
 
+// Copy returns a Controller that decides as this one would, without changing it.
+func (c *Controller) Copy() *Controller {
+	out := NewController(c.settings)
+	for name, k := range c.services {
+		out.services[name] = k.copy()
+	}
+	return out
+}
+
 // Decide returns the verdict about a flow that opens.
 func (c *Controller) Decide(f *Flow, s *State) Verdict {
 	load := c.usable(f, s)
--- a/internal/core/admission/service.go
+++ b/internal/core/admission/service.go
@@ -33,6 +33,17 @@
 	own float64
 }
 
+func (k *service) copy() *service {
+	out := *k
+	out.chances = maps.Clone(k.chances)
+	out.zones = make(map[model.Zone]*zoneState, len(k.zones))
+	for name, z := range k.zones {
+		zone := *z
+		out.zones[name] = &zone
+	}
+	return &out
+}
+
 // update evaluates a new view.
 func (k *service) update(load *room.Service, s *State) {
 	if k.view == s.View {
--- a/internal/core/steering/admit.go
+++ b/internal/core/steering/admit.go
@@ -83,7 +83,7 @@
 func (s *Steerer) admit(service *Service, route *Route, p *Packet, f *flow, now model.Time) (v admission.Verdict, dropped *Decision) {
 	v.Zone = s.snapshot.Zone
 	classes := s.classesOf(service.Name)
-	if s.snapshot.Room == nil || !classes.Act() || f != nil || len(s.flows) >= maxRecords {
+	if s.snapshot.Room == nil || !classes.Act() || f != nil || s.full() {
 		return v, nil
 	}
 	a := &s.admitter
@@ -95,6 +95,7 @@
 	v = a.controller.Decide(&admission.Flow{Service: service.Name, Terms: route.Terms, Classes: classes, Copy: copied, MayHold: len(a.heldOrder) < maxHeld},
 		&admission.State{Zone: s.snapshot.Zone, Instances: s.snapshot.InstancesInZone, View: s.snapshot.Room, Own: s.ownLoad(service.Name, classes),
 			Now: now, Random: randomOf(p)})
+	s.noteVerdict(&v)
 	a.report(service.Name, &v, now)
 	switch v.Action {
 	case admission.Hold:
--- a/internal/core/steering/completion.go
+++ b/internal/core/steering/completion.go
@@ -95,6 +95,7 @@
 			return c, class
 		}
 		s.candidates = s.candidates[:0] // no sampled server is suitable
+		s.restartPreview()
 	}
 	for _, server := range r.service.Servers {
 		s.addCandidate(server, view, load, now)
@@ -187,9 +188,13 @@
 		}
 		// The least of exponential variates with different rates has each index with a
 		// probability proportional to its rate.
-		if key := cost * s.random.ExpFloat64(); picks[class].candidate == nil || key < picks[class].key {
+		key := cost * s.random.ExpFloat64()
+		if picks[class].candidate == nil || key < picks[class].key {
 			picks[class] = pick{c, key}
 		}
+		if s.preview != nil {
+			s.noteCandidate(t, class, cost, key, c.placement(), now)
+		}
 	}
 	near, far := &picks[classBusy], &picks[classFar]
 	if near.candidate != nil && far.candidate != nil && !free && s.leavesZone(r, view.Services[r.service.Name], leastBusy, far.candidate.target, route) {
--- a/internal/core/steering/select.go
+++ b/internal/core/steering/select.go
@@ -55,6 +55,9 @@
 	classExcluded         // must not get a flow
 )
 
+// classNames are the names of the classes for operators.
+var classNames = [...]string{classReady: "ready", classBusy: "busy", classFar: "far", classCold: "cold", classUnhealthy: "unhealthy", classExcluded: "excluded"}
+
 // crossZoneLoad is added to the score of servers in other zones, which matters once the
 // own zone has no free slot. It stands for the round trip between zones, relative to
 // the duration of a typical request.
@@ -113,6 +116,7 @@
 
 // bestServer returns the best server for a new flow besides r.avoid and does not count a flow to it.
 func (s *Steerer) bestServer(r *request, now model.Time) selected {
+	s.restoreRandom()
 	load := s.loads[r.service.Name]
 	if load == nil {
 		load = &serviceLoad{perOpenFlow: initialLoadPerFlow}
@@ -182,6 +186,9 @@
 		score += crossZoneLoad
 	}
 	score += jitter * s.random.Float64()
+	if s.preview != nil {
+		s.noteCandidate(t, class, score, score, nil, now)
+	}
 	if class < c.class || class == c.class && score < c.score {
 		c.best, c.class, c.score = t, class, score
 	}
--- a/internal/core/steering/status.go
+++ b/internal/core/steering/status.go
@@ -77,6 +77,8 @@
 		if t == nil {
 			t = &target{server: server, path: &pathTime{}}
 		}
+		copied := *t // describe changes its target, and a question must not change decisions
+		t = &copied
 		perOpenFlow := initialLoadPerFlow
 		if load := s.loads[server.Service]; load != nil {
 			perOpenFlow = load.perOpenFlow
--- a/internal/core/steering/steerer.go
+++ b/internal/core/steering/steerer.go
@@ -56,9 +56,11 @@
 type Steerer struct {
 	// coldMargin is the number of new flows per second that a cold server can take in
 	// addition to its service's ColdPerSecond.
-	coldMargin  float64
-	snapshot    *Snapshot
-	random      *rand.Rand
+	coldMargin float64
+	snapshot   *Snapshot
+	random     *rand.Rand
+	// ahead is what random draws from after a preview; nil if no numbers were drawn ahead.
+	ahead       *numbersAhead
 	flows       map[FlowKey]*flow
 	targets     map[Token]*target
 	loads       map[string]*serviceLoad
@@ -82,6 +84,8 @@
 	load       loadTally
 	admitter   admitter
 	hedging    *hedging
+	// preview is nil except in the copy that a preview makes.
+	preview *preview
 }
 
 // NewSteerer returns a Steerer without flows. coldMargin is the number of new flows per
@@ -187,7 +191,9 @@
 func (s *Steerer) targetOf(server *Server) *target {
 	t := s.targets[server.Token]
 	if t == nil {
-		t = &target{server: server, path: s.pathTo(server.Zone)}
+		if t = s.copyOf(server.Token); t == nil {
+			t = &target{server: server, path: s.pathTo(server.Zone)}
+		}
 		s.targets[server.Token] = t
 	}
 	return t
@@ -240,7 +246,7 @@
 // retransmitted, or nil.
 func (s *Steerer) addFlow(p *Packet, f *flow, t *target, now model.Time) {
 	if f == nil {
-		if len(s.flows) >= maxRecords {
+		if s.full() {
 			return
 		}
 		f = &flow{target: t, openedAt: now, synSequence: p.Sequence, priority: s.priorityOf(p.Key.Route)}
