room: one definition of a zone that is short of capacity

Cause: admission control and placement each had their own, with the same figures. Change: room.Zone.ShortageThreshold. Result: decisions are unchanged; the tests of the packages pass.

--- a/internal/core/admission/admission.go
+++ b/internal/core/admission/admission.go
@@ -16,8 +16,6 @@
 )
 
 const (
-	// shortageDepth is the number of queued requests for each slot above which a zone is short.
-	shortageDepth = 0.5
 	// reliefRatio is the part of the shortage threshold below which a zone is no longer short.
 	// Between the two a zone would change its state with each report.
 	reliefRatio = 0.8
--- a/internal/core/admission/service.go
+++ b/internal/core/admission/service.go
@@ -69,10 +69,9 @@
 
 // update evaluates the load of a zone in a new view.
 func (z *zoneState) update(load *room.Zone, base, elapsed time.Duration) {
-	inProgress, slots := load.Total.InProgress, float64(load.Slots)
-	threshold := load.Total.Completed*base.Seconds() + slots*shortageDepth
+	inProgress, threshold := load.Total.InProgress, load.ShortageThreshold(base)
 	switch {
-	case inProgress <= slots, inProgress < reliefRatio*threshold:
+	case inProgress <= float64(load.Slots), inProgress < reliefRatio*threshold:
 		z.short = false
 	case inProgress > threshold:
 		z.short = true
--- a/internal/core/room/types.go
+++ b/internal/core/room/types.go
@@ -115,3 +115,14 @@
 	Total      Counters
 	ByPriority map[uint8]Counters
 }
+
+// queuedPerSlot is the number of queued requests for each slot above which a zone is short.
+const queuedPerSlot = 0.5
+
+// ShortageThreshold returns the number of requests in progress above which the servers of the zone
+// are short of capacity: those that they complete in the baseline response time, which keep
+// them busy, and a short queue; at least one for each slot.
+func (z *Zone) ShortageThreshold(baseline time.Duration) float64 {
+	slots := float64(z.Slots)
+	return max(slots, z.Total.Completed*baseline.Seconds()+queuedPerSlot*slots)
+}
--- a/internal/core/steering/completion.go
+++ b/internal/core/steering/completion.go
@@ -16,9 +16,9 @@
 	// trialInterval is the mean time between the trial flows of a failing server over all
 	// instances of a zone. At one per second the trials of 30 s show whether it has recovered.
 	trialInterval = time.Second
-	// busySlotsMargin is the part of the slots by which the requests in progress exceed those of the
-	// baseline response time before the servers count as short of capacity.
-	busySlotsMargin = 0.5
+	// shortPerSlot is the number of own requests in progress for each slot of every server of the zone
+	// above which the zone counts as short before a view shows it.
+	shortPerSlot = 1.5
 	// ownShare is the weight of the own requests in progress, times the instances of the zone, in the
 	// estimate of those over all instances; the rest is that of the view. The own number is noisy
 	// but current, so instances that each spread their own flows evenly do so together. The
@@ -235,7 +235,7 @@
 		return false
 	}
 	near, other := zoneLoad(service, r.zone), zoneLoad(service, far.server.Zone)
-	short := near.short || leastBusy > 1+busySlotsMargin
+	short := near.short || leastBusy > shortPerSlot
 	if !other.known || route.longFlows() && !short {
 		return false
 	}
@@ -268,7 +268,7 @@
 	slots, usual := float64(z.Slots), z.Total.Completed*service.BaseLatency.Seconds()
 	switch {
 	case usual > 0:
-		state.short = z.Total.InProgress > max(slots, usual+busySlotsMargin*slots)
+		state.short = z.Total.InProgress > z.ShortageThreshold(service.BaseLatency)
 		state.time = max(1, z.Total.InProgress/usual)
 	case slots > 0:
 		state.time = max(1, z.Total.InProgress/slots)
