admission: zones whose servers accept no flows are not short of capacity

Ruled out: a real shortage (at most 3 requests in progress). Change: a zone without slots has no limit and is never short; a service without servers is handled as before admission control.

--- a/internal/core/admission/property_test.go
+++ b/internal/core/admission/property_test.go
@@ -145,3 +145,21 @@
 	}
 	require.Equal(t, map[model.Zone]int{"b": 50, "c": 50}, first, "in proportion to their limits")
 }
+
+// Load: open flows to servers that no longer accept new ones. Guards against flows that are refused
+// for lack of capacity while the service has no servers, which seed 772554309 of the soak found.
+func TestZonesWithoutServersAreNotShort(t *testing.T) {
+	leaving := func() *room.Zone {
+		return &room.Zone{Instances: 16, Total: room.Counters{InProgress: 3, Completed: 170}}
+	}
+	view := &room.View{At: 1, Usable: true, Services: map[string]*room.Service{"": {BaseLatency: time.Millisecond, Zones: map[model.Zone]*room.Zone{
+		"a": leaving(), "b": leaving()}}}}
+	f, c := Flow{Classes: &Classes{goal: true, priorities: []uint8{1, 2}}, Terms: model.Terms{Priority: 2}}, NewController(enabled)
+	state := State{Zone: "a", Instances: 16, View: view, Own: map[model.Zone]int{"a": 20}, Now: 2, Random: 0.5}
+	require.Equal(t, Verdict{Zone: "a"}, c.Decide(&f, &state))
+
+	next := *view
+	next.Services[""].Zones["b"].Slots, next.Services[""].Zones["b"].Total.InProgress = 60, 20
+	state.View = &next
+	require.Equal(t, Admit, c.Decide(&f, &state).Action, "zone b has free slots")
+}
--- a/internal/core/admission/service.go
+++ b/internal/core/admission/service.go
@@ -69,6 +69,12 @@
 
 // update evaluates the load of a zone in a new view.
 func (z *zoneState) update(load *room.Zone, base, elapsed time.Duration) {
+	if load.Slots == 0 {
+		// No server accepts flows. Those that are open still complete requests, but that is no
+		// capacity, and without any the flow is handled as one to a service without servers.
+		z.short, z.limit, z.scale = false, 0, 0
+		return
+	}
 	inProgress, threshold := load.Total.InProgress, load.ShortageThreshold(base)
 	switch {
 	case inProgress <= float64(load.Slots), inProgress < reliefRatio*threshold:
