--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -5,4 +5,4 @@
   echo "run the build of deploy/system.toml and review/build-2.sh first" >&2
   exit 2
 fi
-exec target/review-rig cold review/9
+exec target/review-rig resets review/9
--- a/review/rig/client.go
+++ b/review/rig/client.go
@@ -46,7 +46,10 @@
 	id      flowID
 	packets chan received
 	head    header // of the next packet
-	answers int
+	// resetBy is the machine that sent the reset of the flow, and via the one that took its last
+	// packet.
+	resetBy, via netip.AddrPort
+	answers      int
 }
 
 // received is a packet that a client received.
@@ -54,7 +57,8 @@
 	header
 	data []byte
 	// own is set if the packet's sum is right, so that a server wrote it.
-	own bool
+	own  bool
+	from netip.AddrPort
 }
 
 // outcome is how an opening or a request ended.
@@ -85,7 +89,7 @@
 func (c *client) receive() {
 	buffer := make([]byte, 2048)
 	for {
-		n, _, err := c.conn.ReadFromUDPAddrPort(buffer)
+		n, from, err := c.conn.ReadFromUDPAddrPort(buffer)
 		if err != nil {
 			if c.w.ended() {
 				return
@@ -93,7 +97,7 @@
 			continue // an earlier packet met a closed port
 		}
 		b := append([]byte(nil), buffer[:n]...)
-		var r received
+		r := received{from: from}
 		var ok bool
 		if r.data, ok = r.decode(b); !ok {
 			c.w.record.breaks("MIXED", "a client got a packet that is cut short")
@@ -179,6 +183,7 @@
 // send sends a packet by way of the machine that the routers choose.
 func (f *clientFlow) send(data []byte) {
 	if to, ok := f.c.w.pick(f.c.zone, f.id); ok {
+		f.via = to
 		_, _ = f.c.conn.WriteToUDPAddrPort(f.head.encode(data), to)
 	}
 }
@@ -190,6 +195,7 @@
 		if d := int32(p.seq - f.head.ack); !p.own && (d > resetWindow || d < -resetWindow) {
 			return false, succeeded // not valid on an open flow
 		}
+		f.resetBy = p.from
 		return false, resetOutcome(p)
 	case p.flags&flagSYN != 0:
 		return false, succeeded // a copy of an earlier one
--- a/review/rig/store.go
+++ b/review/rig/store.go
@@ -40,6 +40,8 @@
 	changed   chan struct{}
 	// silent is set while the store is down: calls get no answer.
 	silent bool
+	// disturbedAt is when the store was last down or lost its history.
+	disturbedAt time.Time
 	// up is closed when the store is up again.
 	up chan struct{}
 	// beforePage is called before each page after the first one of a listing of all keys.
@@ -130,7 +132,7 @@
 func (s *store) discardHistory() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.discarded, s.history = s.revision, nil
+	s.discarded, s.history, s.disturbedAt = s.revision, nil, time.Now()
 	s.wake()
 }
 
@@ -141,7 +143,7 @@
 	if s.silent == silent {
 		return
 	}
-	s.silent = silent
+	s.silent, s.disturbedAt = silent, time.Now()
 	if silent {
 		s.up = make(chan struct{})
 	} else {
@@ -150,6 +152,13 @@
 	s.wake()
 }
 
+// calm reports whether the store has been undisturbed for some time.
+func (s *store) calm(d time.Duration) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.silent && time.Since(s.disturbedAt) > d
+}
+
 // waitUp blocks while the store is down. It returns false if the caller gave up.
 func (s *store) waitUp(r *http.Request) bool {
 	s.mu.Lock()
--- a/review/rig/world.go
+++ b/review/rig/world.go
@@ -49,7 +49,7 @@
 	sent     map[flowID][]time.Time // of each copy of an opening packet
 	asked    map[string]bool        // requests that clients sent
 	ran      map[string]int         // how often each request ran
-	opened   map[flowID]*server
+	opened   map[flowID]run         // where each flow opened
 	version  uint64
 }
 
@@ -71,7 +71,7 @@
 
 func newWorld(r *record, trouble bool) (*world, error) {
 	w := &world{record: r, trouble: trouble, subnet: byte(1 + rand.IntN(250)), start: time.Now(), rotation: map[string][]*machine{},
-		sent: map[flowID][]time.Time{}, asked: map[string]bool{}, ran: map[string]int{}, opened: map[flowID]*server{}}
+		sent: map[flowID][]time.Time{}, asked: map[string]bool{}, ran: map[string]int{}, opened: map[flowID]run{}}
 	var err error
 	if w.program, err = runCommand("deploy/system.toml"); err != nil {
 		return nil, err
@@ -321,14 +321,16 @@
 	return time.Time{}
 }
 
+// flowOpened records that a flow opened at the present run of a server. The caller holds the
+// server's mutex.
 func (w *world) flowOpened(id flowID, s *server) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.opened[id] = s
+	w.opened[id] = run{s, s.born}
 }
 
-// serverOf returns the server at which a flow opened, or nil.
-func (w *world) serverOf(id flowID) *server {
+// runOf returns the run of a server at which a flow opened; its server is nil if the flow did not.
+func (w *world) runOf(id flowID) run {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return w.opened[id]
