--- a/review/rig/evacuate.go
+++ b/review/rig/evacuate.go
@@ -62,9 +62,15 @@
 		w.servers[2].drain()
 	}
 	if w.trouble {
+		// Just after a check, so that the other machines have no reason to read the store themselves.
+		checked := make(chan struct{})
+		w.store.mu.Lock()
+		w.store.checked = checked
+		w.store.mu.Unlock()
+		<-checked
+		time.Sleep(50 * time.Millisecond)
 		relay := w.machineNamed("edge-pkc-b-1")
 		relay.kill()
-		time.Sleep(50 * time.Millisecond)
 		changed := make(chan struct{})
 		w.store.mu.Lock()
 		w.store.beforePage = func() {
@@ -75,9 +81,8 @@
 			close(changed)
 		}
 		w.store.mu.Unlock()
-		w.publish([]*route{uploads}, 0)
-		w.store.discardHistory()
-		w.record.printf("the store has discarded its history")
+		w.store.changeAndForget("op/config", w.newConfig([]*route{uploads}, 0))
+		w.record.printf("operator: configuration %d acknowledged; the store has discarded its history", w.version)
 		select {
 		case <-changed:
 		case <-time.After(5 * time.Second):
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -3,16 +3,15 @@
 // platform around them: the store, the backend servers, the routers and the clients. It shares no
 // code with the product.
 //
-// Usage: rig CASE DIR, in the root of the repository. The record goes to DIR/record.txt. Exit codes:
-// 0 the rule held, 1 it was broken, 2 the case could not run. With TROUBLE=0 in the environment the
-// case is played without its disruption.
+// Usage: rig CASE RECORD, in the root of the repository. RECORD is the file to which the case writes
+// what was sent, answered and run. Exit codes: 0 the rule held, 1 it was broken, 2 the case could not
+// run. With TROUBLE=0 in the environment the case is played without its disruption.
 package main
 
 import (
 	"fmt"
 	"os"
 	"os/signal"
-	"path/filepath"
 	"syscall"
 	"time"
 )
@@ -32,15 +31,15 @@
 
 func main() {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: rig CASE DIR")
+		fmt.Fprintln(os.Stderr, "usage: rig CASE RECORD")
 		os.Exit(exitFailed)
 	}
 	os.Exit(play(os.Args[1], os.Args[2]))
 }
 
-// play runs a case in a new world and returns the exit code.
-func play(name, dir string) int {
-	record, err := newRecord(filepath.Join(dir, "record.txt"))
+// play runs a case in a new world, writes its record, and returns the exit code.
+func play(name, path string) int {
+	record, err := newRecord(path)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitFailed
--- a/review/rig/record.go
+++ b/review/rig/record.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"bufio"
 	"fmt"
 	"os"
 	"sync"
@@ -13,7 +12,6 @@
 type record struct {
 	mu     sync.Mutex
 	file   *os.File
-	out    *bufio.Writer
 	start  time.Time
 	broken []string
 }
@@ -23,14 +21,14 @@
 	if err != nil {
 		return nil, err
 	}
-	return &record{file: f, out: bufio.NewWriter(f), start: time.Now()}, nil
+	return &record{file: f, start: time.Now()}, nil
 }
 
-// printf adds a line.
+// printf adds a line. It is in the file at once, so that a run that is cut off keeps its record.
 func (r *record) printf(format string, args ...any) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	_, _ = fmt.Fprintf(r.out, "%8.3f  %s\n", time.Since(r.start).Seconds(), fmt.Sprintf(format, args...))
+	_, _ = fmt.Fprintf(r.file, "%8.3f  %s\n", time.Since(r.start).Seconds(), fmt.Sprintf(format, args...))
 }
 
 // breaks adds a line that says how a rule was broken.
@@ -51,6 +49,5 @@
 func (r *record) close() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	_ = r.out.Flush()
 	_ = r.file.Close()
 }
--- a/review/rig/store.go
+++ b/review/rig/store.go
@@ -46,8 +46,11 @@
 	up chan struct{}
 	// beforePage is called before each page after the first one of a listing of all keys.
 	beforePage func()
-	server     *http.Server
-	address    netip.AddrPort
+	// checked, if set, is closed with the next read of the keys below op/evacuate/, by which the
+	// machine that watches the store checks its revision.
+	checked chan struct{}
+	server  *http.Server
+	address netip.AddrPort
 }
 
 func newStore(address netip.Addr) (*store, error) {
@@ -128,12 +131,14 @@
 	return s.silent
 }
 
-// discardHistory forgets all earlier changes and cuts the waiting watches.
-func (s *store) discardHistory() {
+// changeAndForget writes a key of which the watches hear nothing, forgets all changes, and cuts the
+// waiting watches.
+func (s *store) changeAndForget(key string, value any) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	encoded, _ := json.Marshal(value)
+	s.write(item{Key: key, Value: encoded})
 	s.discarded, s.history, s.disturbedAt = s.revision, nil, time.Now()
-	s.wake()
 }
 
 // setSilent takes the store down or brings it back.
@@ -179,6 +184,10 @@
 	}
 	prefix, after := r.URL.Query().Get("Prefix"), r.URL.Query().Get("after")
 	s.mu.Lock()
+	if prefix == "op/evacuate/" && s.checked != nil {
+		close(s.checked)
+		s.checked = nil
+	}
 	hook := s.beforePage
 	s.mu.Unlock()
 	if hook != nil && prefix == "" && after != "" {
--- a/review/rig/world.go
+++ b/review/rig/world.go
@@ -114,6 +114,12 @@
 
 // publish writes the configuration.
 func (w *world) publish(routes []*route, coldPerSecond float64) {
+	w.store.put("op/config", w.newConfig(routes, coldPerSecond))
+	w.record.printf("operator: configuration %d acknowledged", w.version)
+}
+
+// newConfig returns the next version of the configuration.
+func (w *world) newConfig(routes []*route, coldPerSecond float64) map[string]any {
 	w.version += 3
 	var list, services []map[string]any
 	names := map[string]bool{}
@@ -126,9 +132,8 @@
 				"Tls": false, "WarmupS": 2.0, "WarmupPerS": coldPerSecond})
 		}
 	}
-	w.store.put("op/config", map[string]any{"Version": w.version, "Routes": list, "Services": services,
-		"Limits": map[string]any{"HeaderBytes": 16384, "BodyBytes": 262144, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000}})
-	w.record.printf("operator: configuration %d acknowledged", w.version)
+	return map[string]any{"Version": w.version, "Routes": list, "Services": services,
+		"Limits": map[string]any{"HeaderBytes": 16384, "BodyBytes": 262144, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000}}
 }
 
 // newRoute returns a route that is in no configuration yet.
