--- a/review/bed/cases.go
+++ b/review/bed/cases.go
@@ -203,7 +203,7 @@
 			d.close()
 			return nil, err
 		}
-		go c.load(narkhRoute, 40, "query")
+		go c.load(narkhRoute, 60, "query")
 	}
 	return d, nil
 }
@@ -293,7 +293,7 @@
 	d.sleepUntil(cut)
 	if trouble {
 		s.crash()
-		d.sleepUntil(cut + 500*time.Millisecond)
+		d.sleepUntil(cut + 600*time.Millisecond)
 		if s.restart() != nil {
 			return didNotRun
 		}
