review: case 13, a server crashes just after its entry expired

It takes the place of a restart within 0.3 s while the store is away. The cases 12 to 15 state a WarmupPerS of 2, and the loads and times of 14 and 15 leave more room.

--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -4,4 +4,4 @@
 # disruption. It needs the build of deploy/system.toml and review/build-3.sh.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/savorysteer ] && [ -x bin/review-bed ] || exit 2
-exec timeout 110 bin/review-bed blink review/13/record.txt
+exec timeout 110 bin/review-bed lapse review/13/record.txt
--- a/review/bed/cases.go
+++ b/review/bed/cases.go
@@ -6,15 +6,18 @@
 	"time"
 )
 
-// coldLimit is WarmupPerS x WarmupFactor + WarmupSlack with the figures of mandi-lb.
-const coldLimit = 0*1.5 + 5
+// coldRate is WarmupPerS, and coldLimit WarmupPerS x WarmupFactor + WarmupSlack.
+const (
+	coldRate  = 2
+	coldLimit = coldRate*1.5 + 5
+)
 
 // cases are the scripts by name.
 var cases = map[string]func(record string, trouble bool) result{
 	"homes":  coldHomes,
 	"power":  powerReturns,
-	"blink":  serversBlink,
 	"crash":  crashBehindCut,
+	"lapse":  crashAfterLapse,
 	"memory": memoryGrows,
 }
 
@@ -159,7 +162,7 @@
 			return didNotRun
 		}
 		go c.load(narkhRoute, 25, "query")
-		go c.load(hisabRoute, 40, "upload")
+		go c.load(hisabRoute, 80, "upload")
 	}
 	const loss = 9 * time.Second
 	d.sleepUntil(loss)
@@ -242,36 +245,6 @@
 	return d.judgeCold()
 }
 
-// serversBlink: the servers of a zone lose power for 0.3 s while the store is away, and start again
-// under their ids. All instances run on.
-func serversBlink(record string, trouble bool) result {
-	d, err := startDeployment(record)
-	if err != nil {
-		fmt.Println(err)
-		return didNotRun
-	}
-	defer d.close()
-	d.sleepUntil(9 * time.Second)
-	if trouble {
-		d.store.setDown(true)
-		d.record("the store is away")
-		d.sleepUntil(9100 * time.Millisecond)
-		for _, name := range []string{"pkc-b/1", "pkc-b/2"} {
-			d.servers[name].losePower()
-			d.record("server %s loses power", name)
-		}
-		d.sleepUntil(9400 * time.Millisecond)
-		for _, name := range []string{"pkc-b/1", "pkc-b/2"} {
-			d.servers[name].start()
-		}
-		d.sleepUntil(13500 * time.Millisecond)
-		d.store.setDown(false)
-		d.record("the store is back")
-	}
-	d.sleepUntil(18 * time.Second)
-	return d.judgeCold()
-}
-
 // crashBehindCut: a server that is cut off from the store crashes and starts again under its id. An
 // instance of its zone is replaced meanwhile, as planned.
 func crashBehindCut(record string, trouble bool) result {
@@ -285,15 +258,16 @@
 	s, i := d.servers["pkc-b/1"], d.instances["edge-pkc-b-1"]
 	planned := make(chan error, 1)
 	go func() {
-		d.sleepUntil(cut - 1300*time.Millisecond)
+		d.sleepUntil(cut - 1100*time.Millisecond)
 		i.stop(6 * time.Second)
 		time.Sleep(500 * time.Millisecond)
 		planned <- i.start()
 	}()
 	d.sleepUntil(cut)
 	if trouble {
+		s.cutFromStore()
 		s.crash()
-		d.sleepUntil(cut + 600*time.Millisecond)
+		d.sleepUntil(cut + 300*time.Millisecond)
 		if s.restart() != nil {
 			return didNotRun
 		}
@@ -306,3 +280,33 @@
 	d.sleepUntil(18 * time.Second)
 	return d.judgeCold()
 }
+
+// crashAfterLapse: a server is cut off from the store until its entry has expired, and crashes and
+// starts again under its id just after that.
+func crashAfterLapse(record string, trouble bool) result {
+	d, err := startDeployment(record)
+	if err != nil {
+		fmt.Println(err)
+		return didNotRun
+	}
+	defer d.close()
+	const cut = 8500 * time.Millisecond
+	d.sleepUntil(cut)
+	if trouble {
+		s := d.servers["pkc-b/1"]
+		s.cutFromStore()
+		if !s.waitForLapse(cut + 4500*time.Millisecond) {
+			return didNotRun
+		}
+		time.Sleep(100 * time.Millisecond)
+		s.crash()
+		time.Sleep(100 * time.Millisecond)
+		if s.restart() != nil {
+			return didNotRun
+		}
+		d.sleepUntil(cut + 5*time.Second)
+		s.heal()
+	}
+	d.sleepUntil(18 * time.Second)
+	return d.judgeCold()
+}
--- a/review/bed/server.go
+++ b/review/bed/server.go
@@ -178,12 +178,34 @@
 	s.writeEntry()
 }
 
-// crash ends the process of the server behind a cut from the store.
+// cutFromStore cuts the server off from the store.
+func (s *server) cutFromStore() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.w.record("server %s is cut off from the store", s.id)
+	s.cutOff = true
+}
+
+// waitForLapse waits until the store has removed the entry of the server, at most until a time since
+// the start. It reports whether that happened.
+func (s *server) waitForLapse(end time.Duration) bool {
+	for ; time.Since(s.w.startAt) < end; time.Sleep(5 * time.Millisecond) {
+		s.mu.Lock()
+		lapsed := s.entry == ""
+		s.mu.Unlock()
+		if lapsed {
+			return true
+		}
+	}
+	return false
+}
+
+// crash ends the process of the server.
 func (s *server) crash() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.w.record("server %s is cut off from the store and crashes", s.id)
-	s.cutOff, s.dark = true, true
+	s.w.record("server %s crashes", s.id)
+	s.dark = true
 	s.flows = map[flowKey]*serverFlow{}
 	_ = s.health.Close()
 	_ = s.packets.Close()
