peer: the log of changes is limited in bytes and keeps deltas of configurations

Cause: peer.ChangeLog kept the latest 1,024 to 8,192 changes whatever their size, and an entry of a configuration held that version whole beside its delta.

Change: the log keeps the delta only and drops its oldest entries above 2 MB; lists of services that do not change are shared. On related paths, messages that wait for the control goroutine are limited to 8 MB of entries, and incomplete change sets to 16 MB; the latter are discarded after a second. It works because what is kept is now bounded by its memory and not by its number.

--- a/internal/control/registry/changes.go
+++ b/internal/control/registry/changes.go
@@ -178,14 +178,18 @@
 	if message.Part < 0 || message.Part >= message.Parts {
 		return nil, false
 	}
-	maps.DeleteFunc(p.partials, func(_ model.InstanceID, c *partialChanges) bool { return now.Sub(c.lastPartAt) > partialTimeout })
+	p.expirePartials(now)
 	c := p.partials[message.From.ID]
 	if c == nil || c.callID != message.CallID {
 		c = &partialChanges{callID: message.CallID, parts: map[int][]catalog.Entry{}}
 		p.partials[message.From.ID] = c
 	}
+	if _, again := c.parts[message.Part]; !again {
+		c.bytes += message.RetainedBytes()
+	}
 	c.lastPartAt, c.parts[message.Part] = now, message.Entries
 	if len(c.parts) < message.Parts {
+		p.limitPartials()
 		return nil, false
 	}
 	delete(p.partials, message.From.ID)
@@ -195,6 +199,30 @@
 	return entries, true
 }
 
+// expirePartials discards the incomplete change sets that no longer grow.
+func (p *peers) expirePartials(now model.Time) {
+	maps.DeleteFunc(p.partials, func(_ model.InstanceID, c *partialChanges) bool { return now.Sub(c.lastPartAt) > partialTimeout })
+}
+
+// limitPartials discards the incomplete change sets that have not grown for longest while all of
+// them together exceed maxPartialBytes. The one that grew last remains.
+func (p *peers) limitPartials() {
+	bytes := 0
+	for _, c := range p.partials {
+		bytes += c.bytes
+	}
+	for bytes > maxPartialBytes && len(p.partials) > 1 {
+		var oldest model.InstanceID
+		for from, c := range p.partials {
+			if oldest == "" || c.lastPartAt.Before(p.partials[oldest].lastPartAt) {
+				oldest = from
+			}
+		}
+		bytes -= p.partials[oldest].bytes
+		delete(p.partials, oldest)
+	}
+}
+
 // forwardsToZone reports whether this instance forwards the content of a message to its
 // own zone: the relay does so with messages from other zones.
 func (m *machine) forwardsToZone(message *peer.Message) bool {
--- a/internal/control/registry/control.go
+++ b/internal/control/registry/control.go
@@ -39,6 +39,10 @@
 // instances, which arrive in bursts when many registry entries change.
 const eventQueueSize = 1024
 
+// maxQueuedBytes limits the memory of the registry entries in queued messages, which can have
+// 64 kB each.
+const maxQueuedBytes = 8 << 20
+
 // Options configure a Control. All are required except Seeds, LoadInterval, Log and
 // Seed.
 type Options struct {
@@ -65,12 +69,14 @@
 
 // Control runs the control goroutine.
 type Control struct {
-	options  Options
-	machine  *machine
-	events   chan event
-	snapshot atomic.Pointer[steering.Snapshot]
-	counts   atomic.Pointer[Counts]
-	done     chan struct{}
+	options Options
+	machine *machine
+	events  chan event
+	// queuedBytes is the memory of the registry entries in queued messages.
+	queuedBytes atomic.Int64
+	snapshot    atomic.Pointer[steering.Snapshot]
+	counts      atomic.Pointer[Counts]
+	done        chan struct{}
 	// cancelCalls cancels callContext, the context of the calls in progress.
 	callContext context.Context
 	cancelCalls context.CancelFunc
@@ -109,7 +115,12 @@
 
 // Receive queues a message from another instance. If the queue is full, the message is
 // dropped, as if the network had lost it.
-func (c *Control) Receive(m *peer.Message) { c.tryPost(evMessage{m}) }
+func (c *Control) Receive(m *peer.Message) {
+	bytes := int64(m.RetainedBytes())
+	if c.queuedBytes.Add(bytes) > maxQueuedBytes || !c.tryPost(evMessage{m}) {
+		c.queuedBytes.Add(-bytes)
+	}
+}
 
 // SetRegistry replaces the registry client. Calls in progress still use the former one.
 func (c *Control) SetRegistry(r port.Registry) { c.post(evRegistry{r}) }
@@ -128,11 +139,13 @@
 // Leave announces to the other instances that this one is shutting down.
 func (c *Control) Leave() { c.post(evLeave{}) }
 
-// tryPost queues an event unless the queue is full.
-func (c *Control) tryPost(e event) {
+// tryPost queues an event unless the queue is full. It reports whether it did.
+func (c *Control) tryPost(e event) bool {
 	select {
 	case c.events <- e:
+		return true
 	default:
+		return false
 	}
 }
 
@@ -158,6 +171,9 @@
 		case <-timer.C:
 		}
 		now := c.options.Clock.Now()
+		if received, ok := e.(evMessage); ok {
+			c.queuedBytes.Add(-int64(received.message.RetainedBytes()))
+		}
 		if r, ok := e.(evRegistry); ok {
 			c.options.Registry = r.registry
 			e = nil
--- a/internal/control/registry/peers.go
+++ b/internal/control/registry/peers.go
@@ -54,6 +54,10 @@
 	partialTimeout = time.Second
 )
 
+// maxPartialBytes limits the memory of incomplete change sets. A complete listing with 30,000
+// servers takes about 10 MB.
+const maxPartialBytes = 16 << 20
+
 // maxUpdatesPerMessage limits the members in one message, to bound its size.
 const maxUpdatesPerMessage = 16
 
@@ -75,6 +79,7 @@
 type partialChanges struct {
 	callID uint32
 	parts  map[int][]catalog.Entry
+	bytes  int // memory of the parts
 	// lastPartAt is when the last part arrived.
 	lastPartAt model.Time
 }
--- a/internal/control/registry/unreachable.go
+++ b/internal/control/registry/unreachable.go
@@ -90,8 +90,9 @@
 	}
 }
 
-// expireReports removes the reports that no longer suppress others.
+// expireReports removes the reports that no longer suppress others, and incomplete change sets.
 func (m *machine) expireReports() {
+	m.peers.expirePartials(m.now)
 	expired := func(_ catalog.ServerRun, at model.Time) bool { return m.now.Sub(at) >= reportHoldDown }
 	maps.DeleteFunc(m.peers.reportedAt, expired)
 	maps.DeleteFunc(m.ends.reportedAt, expired)
--- a/internal/core/catalog/delta.go
+++ b/internal/core/catalog/delta.go
@@ -76,5 +76,9 @@
 		}
 		e.Config = e.Delta.Apply(c.config)
 	}
+	if e.Delta != nil && c.config != nil && slices.Equal(c.config.Services, e.Delta.Services) {
+		// Kept deltas then hold no services of their own.
+		e.Delta.Services, e.Config.Services = c.config.Services, c.config.Services
+	}
 	return true
 }
--- a/internal/core/peer/changelog.go
+++ b/internal/core/peer/changelog.go
@@ -1,16 +1,20 @@
 package peer
 
 import (
+	"slices"
 	"sort"
 
 	"github.com/savorytiller/savorytiller/internal/core/catalog"
 )
 
 // Limits of the changes that a ChangeLog keeps. The minimum covers some minutes of a small
-// deployment that replaces its servers; the maximum takes about 2 MB.
+// deployment that replaces its servers.
 const (
 	minLogEntries = 1024
 	maxLogEntries = 8192
+	// maxLogBytes limits the memory of the entries, whatever their number: changes of
+	// configurations can have thousands of routes each.
+	maxLogBytes = 2 << 20
 )
 
 // compactedRange is a range of revisions whose changes were derived from a listing at its
@@ -19,13 +23,18 @@
 type compactedRange struct{ from, to uint64 }
 
 // ChangeLog holds the latest changes of the registry in ascending order of their
-// revisions.
+// revisions. Of a configuration it keeps the delta and not the whole, where it has both.
 type ChangeLog struct {
 	// servers is the number of servers from which the size of the log is derived.
 	servers int
 	// startRevision is the revision after which the log is complete.
-	startRevision   uint64
-	entries         []catalog.Entry
+	startRevision uint64
+	entries       []catalog.Entry
+	// sizes holds the memory that each entry takes, and bytes their sum.
+	sizes []int
+	bytes int
+	// services is the list of services of the latest delta. Deltas that do not change it share it.
+	services        []catalog.Service
 	compactedRanges []compactedRange
 }
 
@@ -50,23 +59,56 @@
 	for i := range entries {
 		e := &entries[i]
 		if e.Revision > newest || e.Revision == newest && newest > l.startRevision && !l.hasNewest(e) {
-			l.entries = append(l.entries, *e)
+			l.append(*e)
 		}
 	}
-	if over := len(l.entries) - min(max(minLogEntries, 2*l.servers), maxLogEntries); over > 0 {
+	l.trim()
+}
+
+func (l *ChangeLog) append(e catalog.Entry) {
+	if e.Delta != nil {
+		e.Config = nil
+	}
+	size := retainedBytes(&e)
+	if e.Delta != nil {
+		if shareServices(l.services, e.Delta.Services) {
+			size -= retainedServices(e.Delta.Services)
+		}
+		l.services = e.Delta.Services
+	}
+	l.entries, l.sizes = append(l.entries, e), append(l.sizes, size)
+	l.bytes += size
+}
+
+// shareServices reports whether two lists of services are the same memory.
+func shareServices(a, b []catalog.Service) bool {
+	return len(a) > 0 && len(a) == len(b) && &a[0] == &b[0]
+}
+
+// trim drops the oldest entries over the limits.
+func (l *ChangeLog) trim() {
+	over := max(0, len(l.entries)-min(max(minLogEntries, 2*l.servers), maxLogEntries))
+	for i, size := range l.sizes {
+		if i >= over && l.bytes <= maxLogBytes {
+			break
+		}
+		l.bytes -= size
+		over = max(over, i+1)
+	}
+	if over > 0 {
 		l.startRevision = l.entries[over-1].Revision
-		l.entries = append([]catalog.Entry(nil), l.entries[over:]...)
+		l.entries, l.sizes = slices.Delete(l.entries, 0, over), slices.Delete(l.sizes, 0, over)
+	}
+	for len(l.compactedRanges) > 0 && l.compactedRanges[0].to <= l.startRevision {
+		l.compactedRanges = l.compactedRanges[1:]
 	}
 }
 
 // AddCompacted appends the changes between two revisions as derived from a listing. They
 // lack the keys that were added and removed in between.
 func (l *ChangeLog) AddCompacted(from, to uint64, entries []catalog.Entry) {
-	l.Add(entries)
 	l.compactedRanges = append(l.compactedRanges, compactedRange{from, to})
-	for len(l.compactedRanges) > 0 && l.compactedRanges[0].to <= l.startRevision {
-		l.compactedRanges = l.compactedRanges[1:]
-	}
+	l.Add(entries)
 }
 
 // hasNewest reports whether the log has a change of the entry's key at its newest revision.
--- a/internal/core/peer/peer_test.go
+++ b/internal/core/peer/peer_test.go
@@ -2,11 +2,15 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"github.com/savorytiller/savorytiller/internal/core/catalog"
+	"github.com/savorytiller/savorytiller/internal/core/model"
+	"github.com/savorytiller/savorytiller/internal/core/steering"
 )
 
 func entries(from, to int) []catalog.Entry {
@@ -86,3 +90,76 @@
 	}
 	require.Equal(t, all, got)
 }
+
+// largestConfiguration returns a configuration whose document has about 1 MB, the most that the registry
+// holds. Each version has a memory of its own, as after decoding, and differs from others in one route.
+func largestConfiguration(version uint64) *catalog.Configuration {
+	c := &catalog.Configuration{Version: version}
+	for i := range 60 {
+		c.Services = append(c.Services, catalog.Service{Name: fmt.Sprint("service-", i), HealthPath: "/health"})
+	}
+	for i := range 7000 {
+		c.Routes = append(c.Routes, catalog.Route{Name: fmt.Sprintf("r-%07d", i), Endpoint: steering.Endpoint{Address: uint32(i), Port: 8443},
+			Shares: []catalog.Share{{Service: c.Services[i%60].Name, Weight: 1}}})
+	}
+	c.Routes[version%7000].Terms.Timeout = time.Duration(version)
+	return c
+}
+
+// Guards against processes that exceed the memory of their machines: the log kept each of the latest
+// versions of the configuration whole, 0.5 MB to 1 MB each with 4,200 routes, at the instance that
+// reads the registry as well as at those that get deltas from it.
+func TestLogOfLargeConfigurationsIsLimitedInBytes(t *testing.T) {
+	const versions = 1200 // the log is full of deltas after minLogEntries
+	newCatalog := func() *catalog.Catalog { return catalog.New(catalog.Settings{Lifetime: time.Minute}) }
+	reader, other := newCatalog(), newCatalog()
+	var logs [2]ChangeLog
+	heap := func() int {
+		runtime.GC()
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		return int(m.HeapAlloc)
+	}
+	before := heap()
+	var behind *catalog.Configuration
+	for v := uint64(1); v <= versions; v++ {
+		read := []catalog.Entry{{Key: "config", Revision: v, Config: largestConfiguration(v)}}
+		require.Equal(t, catalog.ConfigurationInForce, reader.Apply(model.Time(v), &read[0]))
+		logs[0].Add(read)
+		received := []catalog.Entry{read[0]}
+		if v > 1 {
+			delta := *read[0].Delta
+			delta.Services = append([]catalog.Service(nil), delta.Services...)
+			received[0].Config, received[0].Delta = nil, &delta
+		}
+		require.Equal(t, catalog.ConfigurationInForce, other.Apply(model.Time(v), &received[0]))
+		logs[1].Add(received)
+		if v == versions-100 {
+			behind = read[0].Config
+		}
+		if v%100 == 0 {
+			// The configurations in force and behind take about 1 MB each.
+			require.Less(t, heap()-before, 2*maxLogBytes+6<<20, "after %d versions", v)
+		}
+	}
+	for i := range logs {
+		late := newCatalog()
+		late.Apply(0, &catalog.Entry{Key: "config", Revision: versions - 100, Config: behind})
+		changes, compacted, ok := logs[i].After(versions - 100)
+		require.True(t, ok && !compacted)
+		for k := range changes {
+			e := changes[k] // Apply fills in the configuration
+			require.Equal(t, catalog.ConfigurationInForce, late.Apply(0, &e))
+		}
+		require.ElementsMatch(t, reader.Config().Routes, late.Config().Routes)
+	}
+
+	// Versions that have little in common are dropped before their number is over the limit.
+	for v := uint64(versions + 1); v <= versions+40; v++ {
+		logs[0].Add([]catalog.Entry{{Key: "config", Revision: v, Config: largestConfiguration(v)}})
+		require.LessOrEqual(t, logs[0].bytes, maxLogBytes)
+	}
+	_, _, ok := logs[0].After(versions)
+	require.False(t, ok, "an instance that is so far behind gets the whole")
+	runtime.KeepAlive(other)
+}
