catalog: an entry holds only while its server cannot have started again unnoticed

Cause: an instance that starts while the store is away takes the listing of another one, and took the entries of the former runs for those of the present ones. Doubts about that came only from its own failed probes.

Change: what returned servers had is now one rule with several sources. A server is in doubt when an instance starts in its zone, when all known instances of its zone were lost, when this instance or the server's home had lost it (a failed probe, a monitor that was reset), and counts as cold until an entry or a view confirmed after the doubt shows which run it is, or a cold start has passed. It works because what answers without such evidence is treated as the run that bears least.

A confirmation from before the start of an instance no longer counts as one that the registry is reachable.

--- a/internal/app/steer/instance.go
+++ b/internal/app/steer/instance.go
@@ -175,10 +175,11 @@
 }
 
 // Ready reports whether the instance accepts new flows. It does not before it has a
-// snapshot, while it shuts down, and while it can reach no server of some service.
+// snapshot, while it shuts down, while it can reach no server of some service, and while
+// it cannot tell which servers of its zone are cold.
 func (i *Instance) Ready() bool {
 	s := i.control.Snapshot()
-	return !i.leaving.Load() && s != nil && s.AllServicesReachable()
+	return !i.leaving.Load() && s != nil && !s.ZoneInDoubt && s.AllServicesReachable()
 }
 
 // Run serves until stop ends, then shuts down gracefully and returns nil. If a part of the
--- a/internal/control/registry/ends.go
+++ b/internal/control/registry/ends.go
@@ -21,6 +21,9 @@
 	// that between two of them if servers were listed meanwhile.
 	scanInterval    = time.Second
 	minScanInterval = 50 * time.Millisecond
+	// firstScanDelay is the time from the start to the first scan, in which the instance learns of
+	// the others of its zone.
+	firstScanDelay = 500 * time.Millisecond
 	// monitorDelay is the time until a server that could not be reached is monitored again.
 	monitorDelay = 500 * time.Millisecond
 	// maxMonitors limits the connections that this instance holds.
@@ -43,12 +46,14 @@
 	// toReport are the ends to report once nextReportAt has come.
 	toReport     map[catalog.ServerRun]bool
 	nextReportAt model.Time
+	// doubtsToReport are the runs that may have ended, to report at the same time.
+	doubtsToReport map[catalog.ServerRun]bool
 	// reportedAt is when each end was last reported, by this or another instance.
 	reportedAt map[catalog.ServerRun]model.Time
 }
 
 func newEnds() ends {
-	return ends{monitors: map[catalog.ServerRun]*monitor{}, toReport: map[catalog.ServerRun]bool{}, reportedAt: map[catalog.ServerRun]model.Time{}}
+	return ends{monitors: map[catalog.ServerRun]*monitor{}, toReport: map[catalog.ServerRun]bool{}, doubtsToReport: map[catalog.ServerRun]bool{}, reportedAt: map[catalog.ServerRun]model.Time{}}
 }
 
 // evMonitored is the result of a monitor, as of the time at which it was known.
@@ -75,14 +80,14 @@
 // monitors.
 func (m *machine) startMonitors() {
 	e := &m.ends
-	if m.now.Before(e.scanAt) {
-		m.scheduleWake(e.scanAt)
+	if at := max(e.scanAt, m.peers.started.Add(firstScanDelay)); m.now.Before(at) {
+		m.scheduleWake(at)
 		return
 	}
 	e.scannedAt, e.scanAt = m.now, m.now.Add(scanInterval)
 	m.scheduleWake(e.scanAt)
 	wanted := map[catalog.ServerRun]bool{}
-	for _, server := range m.catalog.Monitored(m.zone, m.isHome) {
+	for _, server := range m.catalog.Monitored(m.zone, m.ranksAsHome) {
 		if len(wanted) == maxMonitors {
 			break
 		}
@@ -126,6 +131,7 @@
 		m.log.Info("server closed its connection and its port", "server", e.server.ID, "zone", e.server.Zone, "started", e.server.Started)
 		m.recordProbe(&e.server, e.at, belief.Ended)
 	} else {
+		m.catalog.RecordLostContact(run)
 		m.catalog.MarkSuspect(e.at, run)
 	}
 }
@@ -143,27 +149,38 @@
 	m.ends.toReport[run] = true
 }
 
-// sendEndReports sends the queued reports to the own zone and to the relays of the others.
+// sendEndReports sends the queued reports of ends and doubts to the own zone and to the relays of the
+// others.
 func (m *machine) sendEndReports() {
 	e := &m.ends
-	if len(e.toReport) == 0 {
+	if len(e.toReport) == 0 && len(e.doubtsToReport) == 0 {
 		return
 	}
 	if m.now.Before(e.nextReportAt) {
 		m.scheduleWake(e.nextReportAt)
 		return
 	}
-	var runs []catalog.ServerRun
-	for run := range e.toReport {
+	recipients := append(m.peers.tree.others(), m.otherRelays()...)
+	ended, doubted := takeRuns(e.toReport), takeRuns(e.doubtsToReport)
+	if len(ended) > 0 && len(doubted) > 0 {
+		e.nextReportAt = m.now.Add(2 * reportPause(len(recipients)))
+	} else {
+		e.nextReportAt = m.now.Add(reportPause(len(recipients)))
+	}
+	m.sendEnded(recipients, ended)
+	m.sendDoubts(recipients, doubted)
+}
+
+// takeRuns removes as many runs as a message holds. The others follow with the next message.
+func takeRuns(queued map[catalog.ServerRun]bool) (runs []catalog.ServerRun) {
+	for run := range queued {
 		if len(runs) == maxEndsPerMessage {
-			break // the others follow with the next message
+			break
 		}
-		delete(e.toReport, run)
+		delete(queued, run)
 		runs = append(runs, run)
 	}
-	recipients := append(m.peers.tree.others(), m.otherRelays()...)
-	e.nextReportAt = m.now.Add(reportPause(len(recipients)))
-	m.sendEnded(recipients, runs)
+	return runs
 }
 
 // sendEnded reports ended runs.
--- a/internal/control/registry/feed.go
+++ b/internal/control/registry/feed.go
@@ -276,6 +276,9 @@
 			at = at.Add(m.timing.relayHeadStart)
 		}
 	}
+	if settlingAt := m.settlingCheckAt(); settlingAt != 0 {
+		at = min(at, settlingAt)
+	}
 	if m.now.Before(at) {
 		m.scheduleWake(at)
 		return
@@ -356,7 +359,11 @@
 // registryAnswered records that the registry responded.
 func (m *machine) registryAnswered() {
 	m.failedChecks = 0
-	m.catalog.SetRegistryReachable(m.now, true)
+	since := m.now
+	if m.now.Sub(m.peers.started) < listingPatience {
+		since = m.peers.started // it was undisturbed when this instance started
+	}
+	m.catalog.SetRegistryReachable(since, true)
 	if !m.registryReachable {
 		m.registryReachable = true
 		m.log.Info("registry reached")
@@ -364,9 +371,9 @@
 }
 
 // registryAnsweredOther records that the registry answered another instance at the given
-// time. If that is later than the last failed check, the registry is reachable again.
+// time. If that is later than the last failed check and the start, the registry is reachable.
 func (m *machine) registryAnsweredOther(at model.Time) {
-	if !m.registryReachable && at.After(m.checkSentAt) {
+	if !m.registryReachable && at.After(max(m.checkSentAt, m.peers.started)) {
 		m.registryAnswered()
 	}
 }
--- a/internal/control/registry/machine.go
+++ b/internal/control/registry/machine.go
@@ -133,7 +133,7 @@
 	o.Catalog.NewFlowLimit = o.Bounds.newFlowLimit()
 	m := &machine{zone: o.Self.Zone, random: random, log: o.Log, catalog: catalog.New(o.Catalog),
 		timing: timingFor(o.Bounds), lookups: newLookups(), ends: newEnds(), recoveries: newRecoveries(), loads: newLoads(&o), probeLimit: maxConcurrentProbes}
-	m.peers = peers{seeds: o.Seeds, table: member.New(o.Self, random), calls: map[uint32]*pendingCall{}, partials: map[model.InstanceID]*partialChanges{}, unresponsiveSince: map[model.Zone]model.Time{}, reportedAt: map[catalog.ServerRun]model.Time{},
+	m.peers = peers{seeds: o.Seeds, table: member.New(o.Self, random), calls: map[uint32]*pendingCall{}, partials: map[model.InstanceID]*partialChanges{}, unresponsiveSince: map[model.Zone]model.Time{}, lostAt: map[model.InstanceID]model.Time{}, reportedAt: map[catalog.ServerRun]model.Time{},
 		lastMessageAt: map[model.Zone]model.Time{}}
 	m.peers.setMembers([]model.Member{o.Self})
 	m.peers.table.SetDeadRetention(deadRetention)
@@ -269,8 +269,12 @@
 // failure. It reports whether the result differs from the previous one.
 func (m *machine) recordProbe(server *catalog.ServerEntry, sentAt model.Time, result belief.ProbeResult) bool {
 	_, answeredBefore := m.catalog.EndSeen(server.Run())
+	doubtedBefore := m.catalog.DoubtedAt(server.Run())
 	changed := m.catalog.RecordProbe(sentAt, m.now, server.Run(), result)
 	_, answered := m.catalog.EndSeen(server.Run())
+	if m.catalog.DoubtedAt(server.Run()) != doubtedBefore {
+		m.reportDoubt(server)
+	}
 	if result == belief.Ended || answered && !answeredBefore {
 		m.reportEnd(server)
 	}
--- a/internal/control/registry/peers.go
+++ b/internal/control/registry/peers.go
@@ -133,7 +133,9 @@
 	// unresponsiveSince holds the zones that do not respond, with the start of each
 	// outage.
 	unresponsiveSince map[model.Zone]model.Time
-	log               peer.ChangeLog
+	// lostAt is when instances of other zones were lost without an announcement, for zoneLossTime.
+	lostAt map[model.InstanceID]model.Time
+	log    peer.ChangeLog
 	// partials holds the incomplete change sets by their senders.
 	partials map[model.InstanceID]*partialChanges
 }
@@ -196,6 +198,7 @@
 	p := &m.peers
 	if p.started == 0 {
 		p.started = m.now
+		m.doubtOwnZone()
 		p.tickAt = m.now.Add(time.Duration(m.random.Int64N(int64(time.Second))))
 	}
 	m.expireCalls()
@@ -276,6 +279,7 @@
 	p := &m.peers
 	previous := p.members
 	p.setMembers(p.table.Members())
+	m.doubtLostZones(previous)
 	m.changed = true
 	for _, current := range p.members.All() {
 		was, known := previous.Get(current.ID)
@@ -394,7 +398,11 @@
 	}
 	m.receiveReport(message)
 	m.receiveRecoveries(message)
-	m.receiveEnds(message)
+	if message.Kind == peer.Doubt {
+		m.receiveDoubts(message)
+	} else {
+		m.receiveEnds(message)
+	}
 	m.comparePosition(message)
 }
 
--- a/internal/control/registry/recovered.go
+++ b/internal/control/registry/recovered.go
@@ -55,11 +55,11 @@
 	}
 }
 
-// reportRecovery reports a server that was unreachable until a probe reached it, unless another
+// reportRecovery reports a server that was lost until a probe reached it, unless another
 // instance has reported that. ProbeUnknown means that it accepted the connection.
 func (m *machine) reportRecovery(server *catalog.ServerEntry, result belief.ProbeResult) {
 	run := server.Run()
-	if result == belief.Ended || !m.catalog.Unreachable(run) || !m.learnRecovery(run) {
+	if result == belief.Ended || !m.catalog.Lost(run) || !m.learnRecovery(run) {
 		return
 	}
 	relay := m.isRelay()
--- a/internal/control/registry/recovered_test.go
+++ b/internal/control/registry/recovered_test.go
@@ -89,7 +89,7 @@
 func (o *outage) unreachable() (n int) {
 	for node, m := range o.nodes {
 		for _, run := range o.servers {
-			if m.zone == "z0" && o.alive[node] && m.catalog.Unreachable(run) {
+			if m.zone == "z0" && o.alive[node] && m.catalog.Lost(run) {
 				n++
 			}
 		}
--- a/internal/control/registry/unreachable.go
+++ b/internal/control/registry/unreachable.go
@@ -97,4 +97,5 @@
 	maps.DeleteFunc(m.peers.reportedAt, expired)
 	maps.DeleteFunc(m.ends.reportedAt, expired)
 	maps.DeleteFunc(m.recoveries.knownAt, expired)
+	maps.DeleteFunc(m.peers.lostAt, func(_ model.InstanceID, at model.Time) bool { return m.now.Sub(at) > zoneLossTime })
 }
--- a/internal/control/registry/zones.go
+++ b/internal/control/registry/zones.go
@@ -41,9 +41,11 @@
 // isHome reports whether this instance is the only one that may send new flows to a cold
 // server.
 func (m *machine) isHome(server model.ServerID, zone model.Zone) bool {
-	if m.now.Sub(m.peers.started) < homeDelay {
-		return false
-	}
+	return m.now.Sub(m.peers.started) >= homeDelay && m.ranksAsHome(server, zone)
+}
+
+// ranksAsHome reports whether this instance is the home of a server among the instances that it knows.
+func (m *machine) ranksAsHome(server model.ServerID, zone model.Zone) bool {
 	home := m.peers.members.Home(server, zone)
 	return home != nil && home.ID == m.peers.table.Self().ID
 }
--- a/internal/core/catalog/catalog.go
+++ b/internal/core/catalog/catalog.go
@@ -58,10 +58,11 @@
 	// recoveryReportedAt is when another instance last reported that the server answers again
 	// while it was unreachable from here.
 	recoveryReportedAt model.Time
-	// lost is set from a failed probe to the next one that is answered, which was at returnedAt; 0
-	// once the entry is known to be that of the run.
-	lost       bool
-	returnedAt model.Time
+	// lost is set from a failed probe or monitor to the next probe that is answered.
+	lost bool
+	// doubtedAt is the last time at which the server may have started again unnoticed; 0 if the
+	// entry is known to be that of the run.
+	doubtedAt model.Time
 }
 
 // Catalog merges the entries from the registry and from other instances. It is not safe
@@ -89,8 +90,11 @@
 	unlisted map[model.ServerID][]ServerRun
 	// probeCandidates holds the servers that are suspect or unreachable.
 	probeCandidates map[ServerRun]*server
-	// returned holds the servers with returnedAt.
-	returned       map[ServerRun]*server
+	// doubted holds the servers with doubtedAt, and zoneDoubts the zones whose servers all are in
+	// doubt.
+	doubted        map[ServerRun]*server
+	lastDoubtAt    model.Time
+	zoneDoubts     map[model.Zone]zoneDoubt
 	withdrawnZones map[model.Zone]bool
 	// zoneReturnedAt is when a withdrawn zone returned to service.
 	zoneReturnedAt map[model.Zone]model.Time
@@ -107,7 +111,7 @@
 // New returns an empty catalog.
 func New(s Settings) *Catalog {
 	return &Catalog{settings: s, registry: belief.Registry{Grace: s.UnlistedGrace, NewFlowLimit: s.NewFlowLimit}, revisions: map[string]uint64{}, unusable: map[string]UnusableEntry{}, listed: map[string]listedItem{},
-		servers: map[ServerRun]*server{}, unlisted: map[model.ServerID][]ServerRun{}, probeCandidates: map[ServerRun]*server{}, returned: map[ServerRun]*server{}, withdrawnZones: map[model.Zone]bool{}, zoneReturnedAt: map[model.Zone]model.Time{}, heldSince: map[string]model.Time{}}
+		servers: map[ServerRun]*server{}, unlisted: map[model.ServerID][]ServerRun{}, probeCandidates: map[ServerRun]*server{}, doubted: map[ServerRun]*server{}, zoneDoubts: map[model.Zone]zoneDoubt{}, withdrawnZones: map[model.Zone]bool{}, zoneReturnedAt: map[model.Zone]model.Time{}, heldSince: map[string]model.Time{}}
 }
 
 // Effect is what an entry changed.
@@ -235,6 +239,9 @@
 	if e.ColdFor > 0 {
 		coldUntil = now.Add(e.ColdFor)
 	}
+	if s.doubtedAt != 0 && !entry.Restored && (s.Unlisted() || c.confirmedAt.After(s.doubtedAt)) {
+		c.endDoubt(r, s) // the entry was written after the doubt
+	}
 	s.SupersededAt = 0 // the latest entry says which run is the current one
 	s.SeeEntry(c.confirmedAt, e.State, coldUntil)
 	return ServerListed
@@ -314,6 +321,7 @@
 		if since := max(s.RemovalSeenAt, s.NamedAt); since != 0 && now.Sub(since) > c.settings.Lifetime+retentionMargin {
 			delete(c.servers, r)
 			delete(c.probeCandidates, r)
+			delete(c.doubted, r)
 			c.forgetUnlisted(r)
 			c.changed = true
 		}
--- a/internal/core/catalog/catalog_test.go
+++ b/internal/core/catalog/catalog_test.go
@@ -413,10 +413,10 @@
 		require.Equal(t, c.want, coldUntil(now), name)
 		require.Zero(t, coldUntil(60*second), name)
 		if c.returned != 0 {
-			catalog.SetConfirmed(c.returned + model.Time(entryDelay) - 1)
+			catalog.SetConfirmed(c.returned + model.Time(EntryDelay) - 1)
 			require.Equal(t, c.want, coldUntil(now), "%s: the entry of a new run may be on its way", name)
 			catalog.TakeChanged()
-			catalog.SetConfirmed(c.returned + model.Time(entryDelay))
+			catalog.SetConfirmed(c.returned + model.Time(EntryDelay))
 			require.True(t, catalog.TakeChanged(), name)
 		}
 		require.Zero(t, coldUntil(now), name)
--- a/internal/core/catalog/probes.go
+++ b/internal/core/catalog/probes.go
@@ -160,10 +160,17 @@
 	}
 }
 
-// Unreachable reports whether the last probe of a run failed.
-func (c *Catalog) Unreachable(r ServerRun) bool {
+// RecordLostContact records that the monitor of a run could not reach it.
+func (c *Catalog) RecordLostContact(r ServerRun) {
+	if s := c.servers[r]; s != nil {
+		s.lost = true
+	}
+}
+
+// Lost reports whether a run was not reached when that was last tried.
+func (c *Catalog) Lost(r ServerRun) bool {
 	s := c.servers[r]
-	return s != nil && s.ProbeFailed()
+	return s != nil && s.lost
 }
 
 // HasRun reports whether a run of a server is known.
--- a/internal/core/catalog/removal.go
+++ b/internal/core/catalog/removal.go
@@ -96,5 +96,5 @@
 // SetConfirmed records that the catalog had all changes of the registry at a given time.
 func (c *Catalog) SetConfirmed(at model.Time) {
 	c.confirmedAt = max(c.confirmedAt, at)
-	c.confirmReturned()
+	c.settleDoubts()
 }
--- a/internal/core/catalog/snapshot.go
+++ b/internal/core/catalog/snapshot.go
@@ -15,6 +15,9 @@
 	b := builder{catalog: c, now: now, home: home}
 	s.IdleTimeout, s.Lifetime, s.Settled = c.settings.DefaultIdleTimeout, c.settings.Lifetime, c.Settled(now)
 	s.Availability = c.registry
+	inDoubt, until := c.ZoneInDoubt(now, s.Zone)
+	s.ZoneInDoubt = inDoubt && c.registry.ReachableSince == 0
+	b.noteChangeAt(until)
 	if at, ok := c.registry.GraceEndsAt(0); ok {
 		b.noteChangeAt(at + 1) // Settled changes
 	}
--- a/internal/core/peer/cause.go
+++ b/internal/core/peer/cause.go
@@ -11,7 +11,7 @@
 	CauseJoin
 	// CauseConfirmation covers messages that announce a revision and its confirmation.
 	CauseConfirmation
-	// CauseReport covers reports of unreachable, recovered and ended servers.
+	// CauseReport covers reports of unreachable, recovered, ended and doubted servers.
 	CauseReport
 	// CauseChanges covers changes of the registry and CauseListing complete listings.
 	CauseChanges
--- a/internal/core/peer/message.go
+++ b/internal/core/peer/message.go
@@ -38,6 +38,9 @@
 	// Load carries a part of a load report. It has neither updates nor a position, which keeps it
 	// small.
 	Load
+	// Doubt carries EndedServers of which it is not certain that they have ended. What answers may
+	// be a later run that is cold.
+	Doubt
 	kindEnd
 )
 
--- a/internal/core/steering/types.go
+++ b/internal/core/steering/types.go
@@ -165,6 +165,9 @@
 	// unlisted ones. Of each server it has the latest run.
 	Servers *TokenIndex
 	Zone    model.Zone
+	// ZoneInDoubt is set while the servers of the zone may have started again, cold, and the registry,
+	// whose entries say so, is unreachable.
+	ZoneInDoubt bool
 	// InstancesInZone is the number of live instances in the zone, at least 1.
 	InstancesInZone int
 	// CutOff is set while no messages arrive from instances of other zones.
