registry: a server without an entry is monitored while it gets flows

Cause: the home of a server stopped monitoring it when its entry was removed, and ends were told and believed of listed runs only; the server gets flows for up to 2 s longer.

Change: monitors and reports of ends cover the servers that get flows, whether they have an entry or not. It works because a run without an entry that was seen to end gets no flows, which was so already at the instance that saw it.

--- a/internal/control/registry/ends.go
+++ b/internal/control/registry/ends.go
@@ -14,7 +14,7 @@
 // which says that it is warm. So the home instance of each server holds a connection to it. If
 // that is closed and the port is closed too, the run has ended, and the instance tells the
 // others: until the server writes an entry, or has answered for some time, it gets no new
-// flows.
+// flows. That goes on for a server whose entry was removed while it still gets new flows.
 
 const (
 	// scanInterval is the time between two scans for servers to monitor, and minScanInterval
@@ -87,7 +87,7 @@
 	e.scannedAt, e.scanAt = m.now, m.now.Add(scanInterval)
 	m.scheduleWake(e.scanAt)
 	wanted := map[catalog.ServerRun]bool{}
-	for _, server := range m.catalog.Monitored(m.zone, m.ranksAsHome) {
+	for _, server := range m.catalog.Monitored(m.now, m.zone, m.ranksAsHome) {
 		if len(wanted) == maxMonitors {
 			break
 		}
@@ -136,8 +136,8 @@
 	}
 }
 
-// reportEnd reports to the other instances that this one saw the end of a run that is still
-// listed, or an answer after it. Only the home of the server repeats a recent report.
+// reportEnd reports to the other instances that this one saw the end of a run, or an answer after
+// it. Only the home of the server repeats a recent report.
 func (m *machine) reportEnd(server *catalog.ServerEntry) {
 	run := server.Run()
 	seen, _ := m.catalog.EndSeen(run)
@@ -195,7 +195,7 @@
 	}
 }
 
-// receiveEnds records the ends of listed runs that another instance reports. The relay forwards
+// receiveEnds records the ends of runs that another instance reports. The relay forwards
 // reports from other zones to its own zone.
 func (m *machine) receiveEnds(message *peer.Message) {
 	var ended []catalog.ServerRun
--- a/internal/control/registry/ends_test.go
+++ b/internal/control/registry/ends_test.go
@@ -1,6 +1,7 @@
 package registry
 
 import (
+	"net/netip"
 	"testing"
 	"time"
 
@@ -71,6 +72,33 @@
 	require.Equal(t, 30, f.using(), "the entry of the later run says how it starts")
 }
 
+// Guards against full load on a server that crashes just after its entry expired and starts again cold:
+// it got flows for some time, as warm as its entry had been, and nobody noticed the end of its run.
+func TestColdStartOfAServerThatEndsAfterItsEntryExpired(t *testing.T) {
+	f := newRunningFleet(t, 12, 3)
+	f.removeServer("a")
+	f.run(500 * time.Millisecond)
+	require.Equal(t, 12, f.using(), "its entry may be restored")
+	home := f.home()
+	f.closeMonitor(home, belief.Ended)
+	f.run(100 * time.Millisecond)
+	require.Zero(t, f.using(), "the whole fleet knows of the end")
+	f.step(home, evProbed{server: catalog.ServerEntry{ID: "a", Zone: "z0"}, sentAt: f.now, result: belief.Reachable})
+	f.run(time.Second)
+	require.Zero(t, f.using(), "what answers is another run")
+
+	f.store.put(catalog.Entry{Key: "servers/a", Server: &catalog.ServerEntry{ID: "a", Number: 1, Started: 5,
+		Address: netip.MustParseAddrPort("10.0.0.1:80"), Service: "s", Zone: "z0", Slots: 4, ColdFor: 2 * time.Second}})
+	f.run(500 * time.Millisecond)
+	require.Equal(t, 12, f.using())
+	f.removeServer("a")
+	f.run(4 * time.Second)
+	require.Zero(t, f.using())
+	for i, m := range f.nodes {
+		require.Empty(t, m.ends.monitors, "instance %d monitors a server that gets no flows any more", i)
+	}
+}
+
 // Guards against a server that is taken out of service because its monitor did not reach it, and
 // against connections that are opened in a loop.
 func TestServerThatCannotBeMonitoredIsProbed(t *testing.T) {
--- a/internal/core/catalog/probes.go
+++ b/internal/core/catalog/probes.go
@@ -176,33 +176,37 @@
 // HasRun reports whether a run of a server is known.
 func (c *Catalog) HasRun(r ServerRun) bool { return c.servers[r] != nil }
 
-// RecordReportedEnd records that another instance saw the end of a listed run at a given time.
-// It reports whether that was news.
+// RecordReportedEnd records that another instance saw the end of a run at a given time. It reports
+// whether that was news.
 func (c *Catalog) RecordReportedEnd(at model.Time, r ServerRun) bool {
 	s := c.servers[r]
-	if s == nil || s.Unlisted() || !s.SeeReportedEnd(at) {
+	if s == nil || !s.SeeReportedEnd(at) {
 		return false
 	}
 	c.changed = true
 	return true
 }
 
-// EndSeen reports whether this instance saw the end of a run that is still listed, and whether
-// something has answered at its address since.
+// EndSeen reports whether this instance saw the end of a run, and whether something has answered at
+// its address since.
 func (c *Catalog) EndSeen(r ServerRun) (seen, answered bool) {
 	s := c.servers[r]
-	if s == nil || s.Unlisted() || s.EndSeenAt == 0 || s.EndReported {
+	if s == nil || s.EndSeenAt == 0 || s.EndReported {
 		return false, false
 	}
 	return true, s.AnsweredAt != 0
 }
 
-// Monitored returns the listed servers of a zone that this instance monitors, as home decides.
-// Draining ones are left out, because their end is expected.
-func (c *Catalog) Monitored(zone model.Zone, home func(model.ServerID, model.Zone) bool) []ServerEntry {
+// Monitored returns the servers of a zone that this instance monitors, as home decides: the listed
+// ones, and those without an entry that still get new flows. Draining ones are left out, because
+// their end is expected.
+func (c *Catalog) Monitored(now model.Time, zone model.Zone, home func(model.ServerID, model.Zone) bool) []ServerEntry {
 	var all []ServerEntry
 	for _, s := range c.servers {
-		if s.entry.Zone == zone && !s.Unlisted() && s.SupersededAt == 0 && s.State == model.ServerActive && home(s.entry.ID, zone) {
+		if s.entry.Zone != zone || s.SupersededAt != 0 || s.State != model.ServerActive || !home(s.entry.ID, zone) {
+			continue
+		}
+		if accepts, _ := s.AcceptsNewFlows(now, &c.registry); accepts || !s.Unlisted() {
 			all = append(all, s.entry)
 		}
 	}
--- a/internal/core/peer/message.go
+++ b/internal/core/peer/message.go
@@ -102,7 +102,7 @@
 	// not reach one of them probes it itself.
 	RecoveredServers []catalog.ServerRun
 
-	// EndedServers are runs of listed servers whose end the sender or another instance saw.
+	// EndedServers are runs of servers whose end the sender or another instance saw.
 	EndedServers []catalog.ServerRun
 
 	// CutOff is set if the sender no longer gets messages from instances of other zones.
