registry: instances that join are told which servers were seen to end

Cause: ends are reported when they are seen, to the instances of that moment; the store keeps the entry of the former run for three heartbeats, and an instance that starts has nothing else. Evidence: in the record only the replaced instance sends flows; TestEndsAreToldToInstancesThatJoin fails without the change, with three instances that use the server.

Change: the answer to an instance that joins includes the runs that get no flows because of their end, kept until their entries come. An instance joins its zone again after 1.5 s without a message from it, since it may have missed reports. It works because what is withheld depends on the run and no longer on who was there when its end was seen; and it ends, because only instances that have just joined take it over.

--- a/internal/control/registry/ends.go
+++ b/internal/control/registry/ends.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/savorytiller/savorytiller/internal/core/belief"
@@ -28,6 +29,10 @@
 	monitorDelay = 500 * time.Millisecond
 	// maxMonitors limits the connections that this instance holds.
 	maxMonitors = 256
+	// joinReportTime is the time in which an instance that joins takes over the ends that others know,
+	// and maxJoinReports the number of ends that it is told by each.
+	joinReportTime = 3 * time.Second
+	maxJoinReports = 10 * maxEndsPerMessage
 	// maxEndsPerMessage keeps a message below 1,000 bytes.
 	maxEndsPerMessage = 24
 )
@@ -183,6 +188,16 @@
 	return runs
 }
 
+// sendKnownEnds tells an instance that joins which runs have ended that it may find listed. The
+// reports of them were sent before it started.
+func (m *machine) sendKnownEnds(to model.Member) {
+	for runs := range slices.Chunk(m.catalog.EndedRuns(m.now, to.Zone, maxJoinReports), maxEndsPerMessage) {
+		message := m.newMessage(peer.Gossip, to.ID)
+		message.Updates, message.Join, message.EndedServers = nil, true, runs
+		m.send(to, message)
+	}
+}
+
 // sendEnded reports ended runs.
 func (m *machine) sendEnded(recipients []model.Member, runs []catalog.ServerRun) {
 	if len(runs) == 0 {
@@ -196,20 +211,21 @@
 }
 
 // receiveEnds records the ends of runs that another instance reports. The relay forwards
-// reports from other zones to its own zone.
+// reports from other zones to its own zone. What an instance that joins is told is not forwarded, and
+// only news to an instance that has just started or was cut off: repeated among all, it would never end.
 func (m *machine) receiveEnds(message *peer.Message) {
+	if message.Join && m.now.Sub(m.peers.joinedAt) > joinReportTime {
+		return
+	}
 	var ended []catalog.ServerRun
 	for _, run := range message.EndedServers {
-		if !m.catalog.HasRun(run) {
-			continue
-		}
 		if m.catalog.RecordReportedEnd(m.now, run) {
 			m.log.Info("another instance saw the end of a server", "server", run.ID, "started", run.Started, "instance", message.From.ID)
 		}
 		m.ends.reportedAt[run] = m.now
 		ended = append(ended, run)
 	}
-	if m.forwardsToZone(message) {
+	if m.forwardsToZone(message) && !message.Join {
 		m.sendEnded(m.peers.tree.others(), ended)
 	}
 }
--- a/internal/control/registry/ends_test.go
+++ b/internal/control/registry/ends_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -99,6 +100,33 @@
 	}
 }
 
+// Guards against instances that give a server that restarted cold its full share because they started, or
+// were cut off, when its end was reported: the entry that they have is that of the former run.
+func TestEndsAreToldToInstancesThatJoin(t *testing.T) {
+	f := newRunningFleet(t, 12, 3)
+	home := f.home()
+	others := slices.DeleteFunc([]int{0, 3, 6, 9}, func(i int) bool { return i == home })
+	cutOff, restarted := others[0], others[1]
+	f.blocked = func(from, to int) bool { return from == cutOff || to == cutOff }
+	f.run(500 * time.Millisecond)
+	f.closeMonitor(home, belief.Ended)
+	f.run(300 * time.Millisecond)
+	f.step(home, evProbed{server: catalog.ServerEntry{ID: "a", Zone: "z0"}, sentAt: f.now, result: belief.Reachable})
+	f.run(700 * time.Millisecond)
+	require.Equal(t, 1, f.using(), "the one that is cut off does not know")
+	f.restart(restarted, 3)
+	f.restart(1, 3) // in another zone
+	f.run(500 * time.Millisecond)
+	f.blocked = nil
+	for range 25 {
+		f.run(100 * time.Millisecond)
+		require.LessOrEqual(t, f.using(), 1)
+	}
+	require.Zero(t, f.using(), "those that started know it from the others, and the one that was cut off too")
+	f.run(12 * time.Second)
+	require.Equal(t, 12, f.using(), "the knowledge ends, although instances of a zone join it again and again")
+}
+
 // Guards against a server that is taken out of service because its monitor did not reach it, and
 // against connections that are opened in a loop.
 func TestServerThatCannotBeMonitoredIsProbed(t *testing.T) {
--- a/internal/control/registry/peers.go
+++ b/internal/control/registry/peers.go
@@ -30,6 +30,9 @@
 	// what lost updates left different.
 	zoneJoinInterval = 300 * time.Millisecond
 	zoneSyncInterval = 15 * time.Second
+	// zoneGap is the time without a message from the own zone after which this instance joins it again.
+	// Each instance of the zone sends some probes each second.
+	zoneGap = 1500 * time.Millisecond
 	// deadRetention is how long dead instances are kept and probed. It is longer than
 	// partitions that end without manual repair.
 	deadRetention = 10 * time.Minute
@@ -101,6 +104,8 @@
 	// once they have been received.
 	zoneJoinAt model.Time
 	zoneJoined bool
+	// joinedAt is when this instance started, or when it last had contact with its zone again.
+	joinedAt model.Time
 	// newest is the latest position that another instance, newestFrom, is known to have and
 	// this one lacks; zero for none. It is pulled at pullAt, but not before pullRetryAt,
 	// because an earlier pull may still be answered.
@@ -197,7 +202,7 @@
 func (m *machine) maintainPeers() {
 	p := &m.peers
 	if p.started == 0 {
-		p.started = m.now
+		p.started, p.joinedAt = m.now, m.now
 		m.doubtOwnZone()
 		p.tickAt = m.now.Add(time.Duration(m.random.Int64N(int64(time.Second))))
 	}
@@ -373,11 +378,14 @@
 	for _, suspect := range p.table.TakeSuspects() {
 		m.probePeer(suspect)
 	}
+	if from.Zone == m.zone && p.lastMessageAt[m.zone] != 0 && m.now.Sub(p.lastMessageAt[m.zone]) > zoneGap {
+		p.joinedAt, p.zoneJoinAt = m.now, m.now // reports may have been missed
+	}
 	p.lastMessageAt[from.Zone] = m.now
 	if message.CutOff && from.Zone == m.zone {
 		p.cutOffReportedAt = m.now
 	}
-	p.zoneJoined = p.zoneJoined || message.Kind == peer.Gossip && message.Join && from.Zone == m.zone
+	p.zoneJoined = p.zoneJoined || message.Kind == peer.Gossip && message.Join && len(message.Updates) > 0 && from.Zone == m.zone
 	switch message.Kind {
 	case peer.Probe:
 		m.answerProbe(message)
@@ -406,8 +414,8 @@
 	m.comparePosition(message)
 }
 
-// answerProbe answers a probe, and sends the live and leaving members that an instance that
-// joins needs to know.
+// answerProbe answers a probe, and sends what an instance that joins needs to know: ends of servers,
+// and the live and leaving members.
 func (m *machine) answerProbe(message *peer.Message) {
 	to := message.From
 	answer := m.newMessage(peer.Answer, to.ID)
@@ -416,6 +424,7 @@
 	if !message.Join {
 		return
 	}
+	m.sendKnownEnds(to)
 	for chunk := range slices.Chunk(m.peers.table.MembersFor(to.Zone), maxUpdatesPerMessage) {
 		gossip := m.newMessage(peer.Gossip, to.ID)
 		gossip.Updates, gossip.Join = nil, true
--- a/internal/core/belief/acts.go
+++ b/internal/core/belief/acts.go
@@ -12,12 +12,12 @@
 	// that. It is less than the time for which a server must have been reachable for its
 	// flows to count as undisturbed.
 	maxFailedProbeAge = 2 * time.Second
-	// restartHold is how long a server whose run was seen to end gets no new flows unless it
+	// RestartHold is how long a server whose run was seen to end gets no new flows unless it
 	// writes an entry: after the first answer since, or after the last report of another
 	// instance, which repeats it until the server answers. What answers is a new run, which
 	// is cold, or the end was wrongly seen. It is longer than cold starts last, and
 	// than a server without contact to the registry keeps its entry.
-	restartHold = 6 * time.Second
+	RestartHold = 6 * time.Second
 )
 
 // AcceptsNewFlows reports whether the run may get new flows, and when that next changes without
@@ -53,10 +53,22 @@
 	if e.AwaitsAnswer() {
 		return true, 0
 	}
-	until = max(e.EndSeenAt, e.AnsweredAt).Add(restartHold)
+	until = max(e.EndSeenAt, e.AnsweredAt).Add(RestartHold)
 	return now.Before(until), until
 }
 
+// WithheldAfterEnd reports whether the run gets no new flows only because it was seen to end.
+func (e *Evidence) WithheldAfterEnd(now model.Time, r *Registry) bool {
+	if e.EndSeenAt == 0 {
+		return false
+	}
+	without := *e
+	without.forgetEnd()
+	accepts, _ := e.AcceptsNewFlows(now, r)
+	acceptsWithout, _ := without.AcceptsNewFlows(now, r)
+	return !accepts && acceptsWithout
+}
+
 // HasEnded reports whether the latest run of a server has certainly ended, so that all flows of the
 // server are reset. A missing entry alone does not prove it: servers that are disconnected from the
 // registry keep serving. Nor does a failed probe, which shows only that this instance could not
--- a/internal/core/catalog/catalog.go
+++ b/internal/core/catalog/catalog.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -92,8 +93,10 @@
 	probeCandidates map[ServerRun]*server
 	// doubted holds the servers with doubtedAt, and zoneDoubts the zones whose servers all are in
 	// doubt.
-	doubted        map[ServerRun]*server
-	lastDoubtAt    model.Time
+	doubted     map[ServerRun]*server
+	lastDoubtAt model.Time
+	// earlyEnds are the times of reported ends of runs whose entries are not known yet.
+	earlyEnds      map[ServerRun]model.Time
 	zoneDoubts     map[model.Zone]zoneDoubt
 	withdrawnZones map[model.Zone]bool
 	// zoneReturnedAt is when a withdrawn zone returned to service.
@@ -111,7 +114,7 @@
 // New returns an empty catalog.
 func New(s Settings) *Catalog {
 	return &Catalog{settings: s, registry: belief.Registry{Grace: s.UnlistedGrace, NewFlowLimit: s.NewFlowLimit}, revisions: map[string]uint64{}, unusable: map[string]UnusableEntry{}, listed: map[string]listedItem{},
-		servers: map[ServerRun]*server{}, unlisted: map[model.ServerID][]ServerRun{}, probeCandidates: map[ServerRun]*server{}, doubted: map[ServerRun]*server{}, zoneDoubts: map[model.Zone]zoneDoubt{}, withdrawnZones: map[model.Zone]bool{}, zoneReturnedAt: map[model.Zone]model.Time{}, heldSince: map[string]model.Time{}}
+		servers: map[ServerRun]*server{}, unlisted: map[model.ServerID][]ServerRun{}, probeCandidates: map[ServerRun]*server{}, doubted: map[ServerRun]*server{}, earlyEnds: map[ServerRun]model.Time{}, zoneDoubts: map[model.Zone]zoneDoubt{}, withdrawnZones: map[model.Zone]bool{}, zoneReturnedAt: map[model.Zone]model.Time{}, heldSince: map[string]model.Time{}}
 }
 
 // Effect is what an entry changed.
@@ -244,6 +247,7 @@
 	}
 	s.SupersededAt = 0 // the latest entry says which run is the current one
 	s.SeeEntry(c.confirmedAt, e.State, coldUntil)
+	c.applyEarlyEnd(r, s)
 	return ServerListed
 }
 
@@ -326,6 +330,7 @@
 			c.changed = true
 		}
 	}
+	maps.DeleteFunc(c.earlyEnds, func(_ ServerRun, at model.Time) bool { return now.Sub(at) > belief.RestartHold })
 	if c.tombstones > maxTombstones {
 		for key := range c.revisions {
 			if _, ok := c.listed[key]; !ok {
--- a/internal/core/catalog/probes.go
+++ b/internal/core/catalog/probes.go
@@ -24,6 +24,9 @@
 	maxPromptInterval = time.Second
 )
 
+// maxEarlyEnds limits the reports of ends that are kept for runs without a known entry.
+const maxEarlyEnds = 4096
+
 // Probe is a probe that is due.
 type Probe struct {
 	Server     ServerEntry
@@ -173,20 +176,47 @@
 	return s != nil && s.lost
 }
 
-// HasRun reports whether a run of a server is known.
-func (c *Catalog) HasRun(r ServerRun) bool { return c.servers[r] != nil }
-
 // RecordReportedEnd records that another instance saw the end of a run at a given time. It reports
-// whether that was news.
+// whether that was news. The report of a run that is not known yet is kept until its entry comes.
 func (c *Catalog) RecordReportedEnd(at model.Time, r ServerRun) bool {
 	s := c.servers[r]
-	if s == nil || !s.SeeReportedEnd(at) {
+	switch {
+	case s == nil && len(c.earlyEnds) < maxEarlyEnds:
+		c.earlyEnds[r] = at
+		return false
+	case s == nil || !s.SeeReportedEnd(at):
 		return false
 	}
 	c.changed = true
 	return true
 }
 
+// applyEarlyEnd applies a report that came before the entry of a run.
+func (c *Catalog) applyEarlyEnd(r ServerRun, s *server) {
+	if at, ok := c.earlyEnds[r]; ok {
+		s.SeeReportedEnd(at)
+		delete(c.earlyEnds, r)
+	}
+}
+
+// EndedRuns returns at most limit runs that were seen to end, here or elsewhere, and that instances
+// without that knowledge would use. Those of the given zone come first.
+func (c *Catalog) EndedRuns(now model.Time, zone model.Zone, limit int) []ServerRun {
+	var inZone, others []ServerRun
+	for r, s := range c.servers {
+		if !s.WithheldAfterEnd(now, &c.registry) {
+			continue
+		}
+		if s.entry.Zone == zone {
+			inZone = append(inZone, r)
+		} else {
+			others = append(others, r)
+		}
+	}
+	all := append(inZone, others...)
+	return all[:min(len(all), limit)]
+}
+
 // EndSeen reports whether this instance saw the end of a run, and whether something has answered at
 // its address since.
 func (c *Catalog) EndSeen(r ServerRun) (seen, answered bool) {
--- a/internal/core/peer/message.go
+++ b/internal/core/peer/message.go
@@ -102,7 +102,8 @@
 	// not reach one of them probes it itself.
 	RecoveredServers []catalog.ServerRun
 
-	// EndedServers are runs of servers whose end the sender or another instance saw.
+	// EndedServers are runs of servers whose end the sender or another instance saw. With Join they are
+	// for an instance that has just started.
 	EndedServers []catalog.ServerRun
 
 	// CutOff is set if the sender no longer gets messages from instances of other zones.
