catalog: a doubt lasts for a cold start if the home of the server had lost it

What callers saw: nothing in a case; TestModelOfServersThatLosePower fails since a server that lost power while it could not reach the registry counted as warm as soon as the view was confirmed, and since instances that had not noticed the loss themselves had no doubt.

Cause: a confirmed view shows the entry of a new run only if the server reaches the registry.

Change: the home of a server tells the others when it had lost contact: a failed probe, or a connection that was reset or timed out (Monitor now says Unreachable for the latter). Such a doubt lasts until an entry written after it, or for a cold start. A connection attempt of the monitor that is not answered, which a lost packet explains, still is a doubt that a confirmed view ends.

TestServerThatReturnsWithoutTheRegistryIsCold expected the server to be warm when its entry was confirmed.

The model is closer to the system, and stricter: callers send copies of their SYNs, and a server that lost power resets the connections of its monitors within the interval of the keep-alive probes.

--- a/internal/control/registry/doubts.go
+++ b/internal/control/registry/doubts.go
@@ -29,7 +29,7 @@
 // its start, and the relay one after the doubts that it knows, on behalf of its zone.
 func (m *machine) settlingCheckAt() model.Time {
 	doubtedAt := m.peers.started
-	if m.isRelay() {
+	if m.isRelay() { // others wait for its confirmation
 		doubtedAt = max(doubtedAt, m.catalog.LastDoubtAt())
 	}
 	at := doubtedAt.Add(catalog.EntryDelay)
@@ -39,18 +39,19 @@
 	return at.Add(m.checkJitter / settlingJitterPart)
 }
 
-// reportDoubt reports to the other instances that a server of which this one is the home may have
-// started again.
+// reportDoubt reports to the other instances that a server may have started again, if this one is its
+// home.
 func (m *machine) reportDoubt(server *catalog.ServerEntry) {
-	if m.ranksAsHome(server.ID, server.Zone) {
-		m.ends.doubtsToReport[server.Run()] = true
+	if run := server.Run(); m.ranksAsHome(server.ID, server.Zone) {
+		m.catalog.DoubtByHome(m.now, run)
+		m.ends.doubtsToReport[run] = true
 	}
 }
 
 // receiveDoubts records the doubts of a home. The relay forwards those from other zones to its own.
 func (m *machine) receiveDoubts(message *peer.Message) {
 	for _, run := range message.EndedServers {
-		m.catalog.Doubt(m.now, run)
+		m.catalog.DoubtByHome(m.now, run)
 	}
 	if m.forwardsToZone(message) {
 		m.sendDoubts(m.peers.tree.others(), message.EndedServers)
--- a/internal/control/registry/doubts_test.go
+++ b/internal/control/registry/doubts_test.go
@@ -85,14 +85,16 @@
 	f.run(200 * time.Millisecond)
 	server := catalog.ServerEntry{ID: "a", Zone: "z0"}
 	home := f.home()
-	f.step(home, evMonitored{server: server, at: f.now, result: belief.ProbeUnknown}) // its connection was reset
+	f.step(home, evMonitored{server: server, at: f.now, result: belief.Unreachable}) // its connection was reset
 	f.run(20 * time.Millisecond)
 	f.step(home, evProbed{server: server, sentAt: f.now - 10*ms, result: belief.Reachable})
 	f.run(100 * time.Millisecond)
 	require.Equal(t, treatment{cold: 6, homes: 1}, f.treatments(0, 1, 2, 3, 4, 5))
 	f.setStoreDown(false)
 	f.run(4 * time.Second)
-	require.Equal(t, treatment{warm: 6}, f.treatments(0, 1, 2, 3, 4, 5), "its entry was confirmed")
+	require.Equal(t, treatment{cold: 6, homes: 1}, f.treatments(0, 1, 2, 3, 4, 5), "it may be cut off from the registry itself")
+	f.run(2 * time.Second)
+	require.Equal(t, treatment{warm: 6}, f.treatments(0, 1, 2, 3, 4, 5), "a cold start has passed")
 }
 
 // Guards against a confirmation that ends doubts too soon: servers that could not write their entries
--- a/internal/control/registry/ends.go
+++ b/internal/control/registry/ends.go
@@ -136,7 +136,7 @@
 		m.log.Info("server closed its connection and its port", "server", e.server.ID, "zone", e.server.Zone, "started", e.server.Started)
 		m.recordProbe(&e.server, e.at, belief.Ended)
 	} else {
-		m.catalog.RecordLostContact(run)
+		m.catalog.RecordMonitorFailed(run, e.result == belief.Unreachable)
 		m.catalog.MarkSuspect(e.at, run)
 	}
 }
--- a/internal/control/registry/ends_test.go
+++ b/internal/control/registry/ends_test.go
@@ -180,7 +180,7 @@
 }
 
 // Guards against full load on a server that lost power while the registry was out of reach, started again
-// under its ID, and could not say that it is cold. Once the registry confirms its entry it is warm.
+// under its ID, and could not say that it is cold. It is warm after a cold start.
 func TestServerThatReturnsWithoutTheRegistryIsCold(t *testing.T) {
 	f := newRunningFleet(t, 6, 1)
 	f.store.down = func(int) bool { return true }
@@ -211,6 +211,9 @@
 	require.Equal(t, []int{6, 1}, []int{n, homes}, "only the home sends flows, few at a time")
 	f.store.down = nil
 	f.run(3 * time.Second)
+	n, homes = cold()
+	require.Equal(t, []int{6, 1}, []int{n, homes}, "its home lost it too, and it may not reach the registry itself")
+	f.run(2100 * time.Millisecond)
 	n, _ = cold()
-	require.Zero(t, n, "its entry was confirmed")
+	require.Zero(t, n, "a cold start has passed")
 }
--- a/internal/control/registry/model_test.go
+++ b/internal/control/registry/model_test.go
@@ -76,6 +76,7 @@
 	steerers []*steering.Steerer
 	servers  []*modelServer
 	flows    []*modelFlow
+	openings []modelOpening
 	nextPort uint16
 	// lateUntil is until when an instance processes results of probes late, and pausedAt when
 	// it last stood still.
@@ -170,6 +171,16 @@
 	delete(w.monitors, s)
 }
 
+// resetConnections lets the monitors of a server that lost power learn from their next keep-alive
+// probes that it does not know their connections.
+func (w *modelWorld) resetConnections(s *modelServer) {
+	for key, e := range w.monitors[s] {
+		e.at, e.result = w.now+model.Time(w.random.IntN(1000))*ms, belief.Unreachable
+		w.post(e.at, key.node, e)
+	}
+	delete(w.monitors, s)
+}
+
 // disturb starts a disruption of a server and ends it later.
 func (w *modelWorld) disturb(s *modelServer) { s.disturbedAt = w.now }
 
@@ -223,6 +234,7 @@
 		w.run(10 * time.Millisecond)
 		w.beat()
 		w.openFlow()
+		w.repeatSYNs()
 		for _, f := range w.flows {
 			w.useFlow(f)
 		}
@@ -278,15 +290,48 @@
 		return
 	}
 	w.nextPort++
-	key, node := steering.FlowKey{Caller: steering.Endpoint{Address: 9, Port: w.nextPort}, Route: modelRoute}, w.random.IntN(2)
-	d, ok := w.decide(node, &steering.Packet{Key: key, Flags: steering.SYN, Sequence: 100})
-	if !ok || d.Action != steering.Deliver {
+	w.sendSYN(modelOpening{key: steering.FlowKey{Caller: steering.Endpoint{Address: 9, Port: w.nextPort}, Route: modelRoute}, node: w.random.IntN(2), startedAt: w.now})
+}
+
+// modelOpening is an attempt to open a flow. Copies of the SYN follow after 200 ms and 600 ms.
+type modelOpening struct {
+	key       steering.FlowKey
+	node      int
+	startedAt model.Time
+	copies    int // that were sent so far
+}
+
+// repeatSYNs sends the copies of SYNs that are due.
+func (w *modelWorld) repeatSYNs() {
+	due := func(o modelOpening) bool {
+		return w.now.Sub(o.startedAt) >= []time.Duration{200, 600}[o.copies]*time.Millisecond
+	}
+	for i := range w.openings {
+		if o := w.openings[i]; due(o) {
+			o.copies++
+			w.sendSYN(o)
+		}
+	}
+	w.openings = slices.DeleteFunc(w.openings, due)
+}
+
+// sendSYN sends a SYN or a copy. It is repeated if the server is down or cut off.
+func (w *modelWorld) sendSYN(o modelOpening) {
+	key, node := o.key, o.node
+	d, ok := w.decide(node, &steering.Packet{Key: key, Flags: steering.SYN, Sequence: 100, Retransmissions: uint32(o.copies)})
+	if ok && d.Action != steering.Deliver {
 		return
 	}
-	s := w.serverOf(d.Server.ID)
-	if !s.up || s.cut {
+	if !ok || d.Action == steering.Deliver && w.serverOf(d.Server.ID).cut {
+		if o.copies < 2 {
+			w.openings = append(w.openings, o)
+		}
 		return
 	}
+	s := w.serverOf(d.Server.ID)
+	if !s.up {
+		return // its machine answers with a reset
+	}
 	w.checkOpened(node, s)
 	f := &modelFlow{key: key, server: s, started: s.started, token: d.Server.Token, seq: 101, ack: 500, openedAt: w.now}
 	if w.random.IntN(4) == 0 {
@@ -405,6 +450,7 @@
 		w.closeFlows(s)
 		w.startRun(s)
 		s.cut = false
+		w.resetConnections(s)
 		w.advance(d)
 		s.mute = false
 		w.writeEntry(s)
--- a/internal/core/catalog/catalog.go
+++ b/internal/core/catalog/catalog.go
@@ -59,11 +59,12 @@
 	// recoveryReportedAt is when another instance last reported that the server answers again
 	// while it was unreachable from here.
 	recoveryReportedAt model.Time
-	// lost is set from a failed probe or monitor to the next probe that is answered.
-	lost bool
+	// contact is reset by the next probe that is answered.
+	contact contact
 	// doubtedAt is the last time at which the server may have started again unnoticed; 0 if the
-	// entry is known to be that of the run.
-	doubtedAt model.Time
+	// entry is known to be that of the run. doubtedByHome is set if the home of the server had lost contact.
+	doubtedAt     model.Time
+	doubtedByHome bool
 }
 
 // Catalog merges the entries from the registry and from other instances. It is not safe
@@ -330,6 +331,7 @@
 			c.changed = true
 		}
 	}
+	c.expireDoubts(now)
 	maps.DeleteFunc(c.earlyEnds, func(_ ServerRun, at model.Time) bool { return now.Sub(at) > belief.RestartHold })
 	if c.tombstones > maxTombstones {
 		for key := range c.revisions {
--- a/internal/core/catalog/doubt.go
+++ b/internal/core/catalog/doubt.go
@@ -12,13 +12,15 @@
 // run that answers only as long as the server cannot have started again unnoticed. A doubt is the
 // last time at which that could have happened:
 //
-//   - of one server, when it answers after this instance or its home had lost it: a server without
-//     power closes no connection;
+//   - of one server, when it answers after this instance or its home had lost contact: a server
+//     without power closes no connection;
 //   - of all servers of a zone, when this instance starts there or the instances of the zone were lost:
 //     they may have lost power together.
 //
 // A server in doubt counts as cold until it writes an entry, or until the view is confirmed as of a
-// time at which a new run would have written its entry, but no longer than a cold start lasts.
+// time at which a new run would have written its entry, but no longer than a cold start lasts. If its
+// home had lost contact, the confirmation does not count, because the server may not reach the
+// registry.
 
 const (
 	// EntryDelay is the time in which a server that has started writes its entry.
@@ -28,13 +30,24 @@
 	defaultColdTime = 6 * time.Second
 )
 
-// noteReturn records that a probe of a server was answered or failed.
-func (c *Catalog) noteReturn(now model.Time, s *server) {
+// contact is what the latest probes and monitors showed of the contact to a server.
+type contact uint8
+
+const (
+	contactKept contact = iota
+	// contactMissed means that an attempt to connect was not answered, which a lost packet explains.
+	contactMissed
+	// contactLost means that a probe failed, or that a connection was reset or timed out.
+	contactLost
+)
+
+// noteContact records that a probe of a server was answered or failed.
+func (c *Catalog) noteContact(now model.Time, s *server) {
 	switch {
 	case s.ProbeFailed():
-		s.lost = true
-	case s.ProbeResult == belief.Reachable && s.lost:
-		s.lost = false
+		s.contact = contactLost
+	case s.ProbeResult == belief.Reachable && s.contact != contactKept:
+		s.contact = contactKept
 		c.doubt(now, s)
 	}
 }
@@ -45,10 +58,11 @@
 	c.doubted[s.entry.Run()] = s
 }
 
-// Doubt records that another instance found that a run may have ended unnoticed until now.
-func (c *Catalog) Doubt(now model.Time, r ServerRun) {
+// DoubtByHome records that the home of a server had lost contact until now.
+func (c *Catalog) DoubtByHome(now model.Time, r ServerRun) {
 	if s := c.servers[r]; s != nil {
 		c.doubt(now, s)
+		s.doubtedByHome = true
 	}
 }
 
@@ -100,11 +114,20 @@
 	return !c.confirmedAt.Before(written)
 }
 
+// expireDoubts ends the doubts that are older than a cold start.
+func (c *Catalog) expireDoubts(now model.Time) {
+	for r, s := range c.doubted {
+		if now.Sub(s.doubtedAt) > c.coldTime(s.entry.Service) {
+			c.endDoubt(r, s)
+		}
+	}
+}
+
 // settleDoubts ends the doubts of the servers whose entries are those of their runs. A missing entry
 // proves nothing about the run that wrote it.
 func (c *Catalog) settleDoubts() {
 	for r, s := range c.doubted {
-		if c.settled(s.doubtedAt) && !s.Unlisted() {
+		if c.settled(s.doubtedAt) && !s.Unlisted() && !s.doubtedByHome {
 			c.changed = true
 			c.endDoubt(r, s)
 		}
@@ -118,7 +141,7 @@
 }
 
 func (c *Catalog) endDoubt(r ServerRun, s *server) {
-	s.doubtedAt = 0
+	s.doubtedAt, s.doubtedByHome = 0, false
 	delete(c.doubted, r)
 }
 
--- a/internal/core/catalog/probes.go
+++ b/internal/core/catalog/probes.go
@@ -110,7 +110,7 @@
 	s.probedAt, s.fullyProbedAt = now, now
 	before, failedBefore := s.ProbeResult, s.ProbeFailed()
 	s.SeeProbe(sentAt, result)
-	c.noteReturn(now, s)
+	c.noteContact(now, s)
 	s.backOff()
 	if !failedBefore || !s.ProbeFailed() {
 		s.retryDelay = minUnreachableInterval
@@ -163,17 +163,22 @@
 	}
 }
 
-// RecordLostContact records that the monitor of a run could not reach it.
-func (c *Catalog) RecordLostContact(r ServerRun) {
-	if s := c.servers[r]; s != nil {
-		s.lost = true
+// RecordMonitorFailed records that the monitor of a run could not connect to it, or that its connection
+// was broken.
+func (c *Catalog) RecordMonitorFailed(r ServerRun, broken bool) {
+	switch s := c.servers[r]; {
+	case s == nil:
+	case broken:
+		s.contact = contactLost
+	default:
+		s.contact = max(s.contact, contactMissed)
 	}
 }
 
-// Lost reports whether a run was not reached when that was last tried.
+// Lost reports whether contact to a run was lost and no probe has been answered since.
 func (c *Catalog) Lost(r ServerRun) bool {
 	s := c.servers[r]
-	return s != nil && s.lost
+	return s != nil && s.contact == contactLost
 }
 
 // RecordReportedEnd records that another instance saw the end of a run at a given time. It reports
--- a/internal/port/registry.go
+++ b/internal/port/registry.go
@@ -21,8 +21,8 @@
 	// Unreachable means only that neither was established.
 	Reprobe(ctx context.Context, id model.ServerID, address netip.AddrPort, path string) belief.ProbeResult
 	// Monitor holds a connection to the server, without requests, and opens the next one when
-	// it is closed. It returns Ended once the port is closed, and ProbeUnknown if the server
-	// cannot be reached or the context ends.
+	// it is closed. It returns Ended once the port is closed, Unreachable if a connection was
+	// reset or timed out, and ProbeUnknown if none can be opened or the context ends.
 	Monitor(ctx context.Context, address netip.AddrPort) belief.ProbeResult
 	// Connections returns the connections that were attempted so far.
 	Connections() ProbeConnections
