registry: an instance without contact to any other is the home of no server

Cause: the home of a server is selected among the known instances 3 s after the start; an instance that knows no other selects itself. Evidence: TestInstancesWithoutContactAreNoHomes finds two homes without the change.

Change: the 3 s count from the first contact with another instance, unless no seed but the instance itself is configured. It works because an instance without contact cannot know how many others share the server's allowance.

--- a/internal/control/registry/doubts_test.go
+++ b/internal/control/registry/doubts_test.go
@@ -1,6 +1,7 @@
 package registry
 
 import (
+	"net/netip"
 	"testing"
 	"time"
 
@@ -97,6 +98,28 @@
 	require.Equal(t, treatment{warm: 6}, f.treatments(0, 1, 2, 3, 4, 5), "a cold start has passed")
 }
 
+// Guards against several instances that each take themselves for the only one that may send flows to a
+// cold server, because they have started while the seeds are down and know no other instance.
+func TestInstancesWithoutContactAreNoHomes(t *testing.T) {
+	f := newRunningFleet(t, 6, 2)
+	for i := range f.nodes {
+		f.kill(i)
+	}
+	f.start(2, 2)
+	f.start(4, 2)
+	f.run(5 * time.Second)
+	f.store.put(catalog.Entry{Key: "servers/a", Server: &catalog.ServerEntry{ID: "a", Number: 1, Started: 5,
+		Address: netip.MustParseAddrPort("10.0.0.1:80"), Service: "s", Zone: "z0", Slots: 4, ColdFor: 20 * time.Second}})
+	f.run(time.Second)
+	require.Equal(t, treatment{cold: 2}, f.treatments(2, 4))
+	f.start(0, 2) // the seed
+	for range 60 {
+		f.run(100 * time.Millisecond)
+		require.LessOrEqual(t, f.treatments(0, 2, 4).homes, 1)
+	}
+	require.Equal(t, treatment{cold: 3, homes: 1}, f.treatments(0, 2, 4))
+}
+
 // Guards against a confirmation that ends doubts too soon: servers that could not write their entries
 // during an outage of the registry do so within some time of its return.
 func TestDoubtsOutlastAnOutageOfTheRegistry(t *testing.T) {
--- a/internal/control/registry/machine.go
+++ b/internal/control/registry/machine.go
@@ -97,6 +97,7 @@
 	changesAt         model.Time // when the snapshot next changes without an event; 0 for never
 	publishAt         model.Time
 	builtAt           model.Time
+	builtAsHome       bool // knowsZone at builtAt
 	sequence          uint64
 	snapshot          *steering.Snapshot // the snapshot to publish; nil if there is no new one
 	builtSnapshot     steering.Snapshot  // the last built snapshot, without the fields that publish sets
@@ -291,7 +292,7 @@
 // buildIntervalPerServer allows. Otherwise it republishes the last one with current times
 // every publishInterval.
 func (m *machine) publish() {
-	m.changed = m.catalog.TakeChanged() || m.changed || m.changesAt != 0 && !m.now.Before(m.changesAt)
+	m.changed = m.catalog.TakeChanged() || m.changed || m.changesAt != 0 && !m.now.Before(m.changesAt) || m.knowsZone() != m.builtAsHome
 	earliest := m.builtAt.Add(min(buildIntervalPerServer*time.Duration(m.catalog.ServerCount()), maxBuildInterval))
 	build := m.changed && !m.now.Before(earliest)
 	if m.changed && !build {
@@ -303,7 +304,7 @@
 		return
 	}
 	if build {
-		m.changed, m.builtAt = false, m.now
+		m.changed, m.builtAt, m.builtAsHome = false, m.now, m.knowsZone()
 		m.builtSnapshot = steering.Snapshot{Zone: m.zone, InstancesInZone: max(1, m.peers.members.LiveCountIn(m.zone))}
 		m.changesAt = m.catalog.Fill(m.now, &m.builtSnapshot, m.isHome)
 		m.slotsChanged()
--- a/internal/control/registry/peers.go
+++ b/internal/control/registry/peers.go
@@ -98,6 +98,7 @@
 	calls              map[uint32]*pendingCall // by CallID
 	lastCallID         uint32
 	started            model.Time // time of the first event
+	contactAt          model.Time // time of the first message from another instance
 	tickAt             model.Time // next call of table.Tick
 	seedAt             model.Time // next probes of the seeds
 	// zoneJoinAt is when the members of the own zone are requested next. zoneJoined is set
@@ -274,6 +275,12 @@
 	m.send(to, message)
 }
 
+// hasOtherSeeds reports whether a seed is configured that is not this instance.
+func (p *peers) hasOtherSeeds() bool {
+	self := p.table.Self().PeerAddress
+	return slices.ContainsFunc(p.seeds, func(seed netip.AddrPort) bool { return seed != self })
+}
+
 // hasLiveAddress reports whether a live or leaving instance has the given peer address.
 func (p *peers) hasLiveAddress(address netip.AddrPort) bool {
 	return slices.ContainsFunc(p.members.All(), func(live model.Member) bool { return live.PeerAddress == address })
@@ -373,6 +380,9 @@
 	if from.ID == p.table.Self().ID {
 		return
 	}
+	if p.contactAt == 0 {
+		p.contactAt = m.now
+	}
 	p.table.RecordContact(m.now, *from)
 	p.table.Merge(m.now, message.Updates)
 	for _, suspect := range p.table.TakeSuspects() {
--- a/internal/control/registry/zones.go
+++ b/internal/control/registry/zones.go
@@ -10,8 +10,8 @@
 
 // Times of the start of an instance and of the detection of unresponsive zones.
 const (
-	// homeDelay is the time after the start in which an instance does not act as the home
-	// of cold servers, because it may not know all other instances yet.
+	// homeDelay is the time after the first contact with another instance in which an instance does
+	// not act as the home of cold servers, because it may not know all others yet.
 	homeDelay = 3 * time.Second
 	// otherZoneProbeAfter is the time without a message from any other zone after which
 	// some instances of other zones are probed, every otherZoneProbeInterval. After
@@ -41,7 +41,18 @@
 // isHome reports whether this instance is the only one that may send new flows to a cold
 // server.
 func (m *machine) isHome(server model.ServerID, zone model.Zone) bool {
-	return m.now.Sub(m.peers.started) >= homeDelay && m.ranksAsHome(server, zone)
+	return m.knowsZone() && m.ranksAsHome(server, zone)
+}
+
+// knowsZone reports whether this instance certainly knows the others of its zone. Without contact to
+// any seed there may be others that are as much alone as this one.
+func (m *machine) knowsZone() bool {
+	p := &m.peers
+	since := p.contactAt
+	if since == 0 && !p.hasOtherSeeds() {
+		since = p.started
+	}
+	return since != 0 && m.now.Sub(since) >= homeDelay
 }
 
 // ranksAsHome reports whether this instance is the home of a server among the instances that it knows.
