--- a/internal/adapter/steerstatus/status.go
+++ b/internal/adapter/steerstatus/status.go
@@ -88,9 +88,10 @@
 	Service string `json:"service"`
 	Zone    string `json:"zone"`
 	Address string `json:"address"`
-	// State is active, draining, cold, held, unlisted, unreachable or departed. A departed
-	// server is one that has ended. A held one was seen to end and is still listed; it gets
-	// no new flows until it writes an entry or has answered for some time.
+	// State is active, draining, cold, in_doubt, held, unlisted, unreachable or departed. A
+	// departed server is one that has ended. A held one was seen to end and is still listed; it
+	// gets no new flows until it writes an entry or has answered for some time. One in doubt may
+	// have started again unnoticed and counts as cold.
 	State string `json:"state"`
 	// ProbedMsAgo is the time in milliseconds since the last probe was sent, or -1 if
 	// there was none.
@@ -219,6 +220,8 @@
 		return "unlisted"
 	case s.State == model.ServerDraining:
 		return "draining"
+	case s.InDoubt:
+		return "in_doubt"
 	case s.ColdUntil != 0:
 		return "cold"
 	default:
--- a/internal/control/registry/doubts.go
+++ b/internal/control/registry/doubts.go
@@ -43,6 +43,7 @@
 // home.
 func (m *machine) reportDoubt(server *catalog.ServerEntry) {
 	if run := server.Run(); m.ranksAsHome(server.ID, server.Zone) {
+		m.log.Info("server answers after contact was lost, it may have started again", "server", run.ID, "started", run.Started, "zone", server.Zone)
 		m.catalog.DoubtByHome(m.now, run)
 		m.ends.doubtsToReport[run] = true
 	}
@@ -52,6 +53,7 @@
 func (m *machine) receiveDoubts(message *peer.Message) {
 	for _, run := range message.EndedServers {
 		m.catalog.DoubtByHome(m.now, run)
+		m.log.Info("the home of a server had lost contact, it may have started again", "server", run.ID, "started", run.Started, "instance", message.From.ID)
 	}
 	if m.forwardsToZone(message) {
 		m.sendDoubts(m.peers.tree.others(), message.EndedServers)
--- a/internal/control/registry/feed.go
+++ b/internal/control/registry/feed.go
@@ -381,7 +381,11 @@
 // confirm records that the catalog was up to date with the registry at the given time.
 func (m *machine) confirm(at model.Time) {
 	m.confirmedAt = max(m.confirmedAt, at)
+	before, _ := m.catalog.ZoneInDoubt(m.now, m.zone)
 	m.catalog.SetConfirmed(m.confirmedAt)
+	if after, _ := m.catalog.ZoneInDoubt(m.now, m.zone); before && !after {
+		m.log.Info("entries of the own zone are confirmed", "zone", m.zone, "after_ms", m.now.Sub(m.peers.started).Milliseconds())
+	}
 }
 
 // confirmAndBroadcast records a confirmation by a check of this instance and announces it
--- a/internal/core/catalog/doubt.go
+++ b/internal/core/catalog/doubt.go
@@ -146,19 +146,20 @@
 }
 
 // coldUntil returns the end of the cold start of a server: that which its entry states, or a later one
-// if the server is in doubt or its zone returns to service.
-func (c *Catalog) coldUntil(s *server) model.Time {
-	until := s.ColdUntil
+// if the server is in doubt, which it reports, or its zone returns to service.
+func (c *Catalog) coldUntil(s *server) (until model.Time, inDoubt bool) {
+	until = s.ColdUntil
 	if returnedAt, ok := c.zoneReturnedAt[s.entry.Zone]; ok {
 		until = max(until, returnedAt.Add(ZoneReturnColdTime))
 	}
+	doubtedUntil := model.Time(0)
 	if s.doubtedAt != 0 {
-		until = max(until, s.doubtedAt.Add(c.coldTime(s.entry.Service)))
+		doubtedUntil = s.doubtedAt.Add(c.coldTime(s.entry.Service))
 	}
 	if d, ok := c.zoneDoubts[s.entry.Zone]; ok {
-		until = max(until, d.at.Add(d.contactDelay+c.coldTime(s.entry.Service)))
+		doubtedUntil = max(doubtedUntil, d.at.Add(d.contactDelay+c.coldTime(s.entry.Service)))
 	}
-	return until
+	return max(until, doubtedUntil), doubtedUntil.After(until)
 }
 
 // coldTime returns how long a cold start of a server of a service lasts.
--- a/internal/core/catalog/snapshot.go
+++ b/internal/core/catalog/snapshot.go
@@ -81,12 +81,12 @@
 	e := &s.entry
 	out := &steering.Server{ID: e.ID, Number: e.Number, Address: e.Address, Service: e.Service, Zone: e.Zone,
 		Slots: e.Slots, Started: e.Started, Evidence: s.Evidence}
-	out.ColdUntil = b.catalog.coldUntil(s)
+	out.ColdUntil, out.InDoubt = b.catalog.coldUntil(s)
 	if out.ColdUntil.After(b.now) {
 		b.noteChangeAt(out.ColdUntil)
 		out.ColdHome = b.home(e.ID, e.Zone)
 	} else {
-		out.ColdUntil = 0
+		out.ColdUntil, out.InDoubt = 0, false
 	}
 	b.noteChangeAt(s.NextPhaseAt(b.now, &b.catalog.registry))
 	return out
--- a/internal/core/steering/status.go
+++ b/internal/core/steering/status.go
@@ -25,6 +25,8 @@
 	// RestrictedCold means that the server is in its cold start and this instance may not send
 	// it a flow now.
 	RestrictedCold
+	// RestrictedDoubted is RestrictedCold for a server that may have started again unnoticed.
+	RestrictedDoubted
 	RestrictedUnreachable
 	RestrictedProbing
 	RestrictedTimeouts
@@ -34,7 +36,7 @@
 
 // String returns the restriction in the form used in logs and status pages.
 func (r Restriction) String() string {
-	return [...]string{"none", "ambiguous_token", "ended", "draining", "restarted", "unlisted", "cold", "unreachable",
+	return [...]string{"none", "ambiguous_token", "ended", "draining", "restarted", "unlisted", "cold", "in_doubt", "unreachable",
 		"probe_in_progress", "timeouts", "failing_answers"}[r]
 }
 
@@ -109,6 +111,9 @@
 	case service == nil:
 		return RestrictedUnlisted
 	case t.server.ColdUntil.After(now) && !s.coldAllowed(t, service, now):
+		if t.server.InDoubt {
+			return RestrictedDoubted
+		}
 		return RestrictedCold
 	case t.unreachable():
 		return RestrictedUnreachable
--- a/internal/core/steering/types.go
+++ b/internal/core/steering/types.go
@@ -89,6 +89,8 @@
 	// Evidence is what the control goroutine has seen of the run. Its ColdUntil is 0 for a
 	// warm server; during its cold start a server can take only a few new flows per second.
 	belief.Evidence
+	// InDoubt is set while the server counts as cold because it may have started again unnoticed.
+	InDoubt bool
 	// ColdHome is set on the one instance that may send new flows to the server during
 	// its cold start.
 	ColdHome bool
