peerudp: messages that are larger than a datagram are sent in fragments

What callers saw: nothing in a case. An instance that is too far behind for the log of changes gets a complete listing, but a configuration of more than 2,250 routes does not fit into a datagram of 65,507 bytes, so it was never sent.

Cause: one message was one datagram.

--- a/internal/adapter/peerudp/codec_test.go
+++ b/internal/adapter/peerudp/codec_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"math"
 	"net/netip"
 	"reflect"
@@ -83,6 +84,53 @@
 	require.ErrorIs(t, err, port.ErrMalformed)
 }
 
+// Guards against instances that never get a configuration because it is larger than a datagram: they
+// pulled it again and again, and while the registry was away they had none.
+func TestLargeMessagesArriveInFragments(t *testing.T) {
+	want := newFullMessage()
+	config := *want.Entries[0].Config
+	for i := range 7000 {
+		r := config.Routes[0]
+		r.Name, r.Endpoint.Address = fmt.Sprintf("r-%07d", i), uint32(i)
+		config.Routes = append(config.Routes, r)
+	}
+	want.Entries[0].Config = &config
+	message, err := Encode(want)
+	require.NoError(t, err)
+	datagrams, err := split(message)
+	require.NoError(t, err)
+	require.Greater(t, len(datagrams), 3)
+	var a assembler
+	for round := range 3 {
+		for i := len(datagrams) - 1; i >= 0; i-- { // reordered
+			require.LessOrEqual(t, len(datagrams[i]), maxDatagram)
+			f, err := fragmentOf(datagrams[i])
+			require.NoError(t, err)
+			if round == 0 && i == 0 {
+				continue // lost; the next copy of the message has an ID of its own
+			}
+			got := a.add(time.Unix(int64(round), 0), f)
+			if i > 0 {
+				require.Nil(t, got)
+				continue
+			}
+			m, err := Decode(got)
+			require.NoError(t, err)
+			require.Equal(t, want, m)
+		}
+		datagrams, err = split(message)
+		require.NoError(t, err)
+	}
+	for id := range uint64(100) {
+		require.Nil(t, a.add(time.Unix(9, 0), &wireFragment{MessageID: id, Count: 2, Content: []byte("x")}))
+	}
+	require.Len(t, a.assemblies, maxAssemblies)
+	_, err = Decode(datagrams[0])
+	require.ErrorIs(t, err, port.ErrMalformed, "earlier versions ignore fragments")
+	_, err = split(make([]byte, maxFragments*maxFragmentBytes+1))
+	require.ErrorIs(t, err, port.ErrTooLarge)
+}
+
 // Guards against an entry that is invalid at the sender but treated as valid by the
 // receiver.
 func TestInvalidEntriesStayInvalid(t *testing.T) {
--- a/internal/adapter/peerudp/socket.go
+++ b/internal/adapter/peerudp/socket.go
@@ -1,5 +1,5 @@
 // Package peerudp exchanges messages between instances that forward flows by tokens.
-// Each UDP datagram holds one message, encoded in CBOR (RFC 8949).
+// Each UDP datagram holds one message, encoded in CBOR (RFC 8949), or a fragment of one.
 package peerudp
 
 import (
@@ -7,6 +7,7 @@
 	"errors"
 	"net"
 	"net/netip"
+	"time"
 
 	"github.com/savorytiller/savorytiller/internal/adapter/udp"
 	"github.com/savorytiller/savorytiller/internal/core/model"
@@ -42,18 +43,20 @@
 // Send implements port.PeerSender. Senders repeat lost messages, so errors are only
 // counted.
 func (s *Socket) Send(to model.Member, m *peer.Message) {
-	datagram, err := Encode(m)
-	if err == nil && len(datagram) > maxDatagram {
-		err = port.ErrTooLarge
-	}
+	message, err := Encode(m)
+	var datagrams [][]byte
 	if err == nil {
-		err = s.socket.SendPacket(to.PeerAddress, datagram)
+		datagrams, err = split(message)
+	}
+	for _, datagram := range datagrams {
+		if err = s.socket.SendPacket(to.PeerAddress, datagram); err != nil {
+			break
+		}
+		s.traffic.sent[m.Cause()][s.traffic.scope(to.Zone)].add(len(datagram))
 	}
 	if err != nil {
 		s.recorder.Count(part, model.ReasonSendFailed)
-		return
 	}
-	s.traffic.sent[m.Cause()][s.traffic.scope(to.Zone)].add(len(datagram))
 }
 
 // Serve calls receive for each message until the context ends, then closes the socket
@@ -62,6 +65,7 @@
 	stop := context.AfterFunc(ctx, func() { _ = s.socket.Close() })
 	defer stop()
 	buffer := make([]byte, maxDatagram)
+	var fragments assembler
 	for {
 		n, err := s.socket.Receive(buffer)
 		switch {
@@ -71,12 +75,23 @@
 			// The error belongs to an earlier message, such as one to a closed port.
 			s.recorder.Count(part, model.ReasonPeerUnreachable)
 		default:
-			if m, err := Decode(buffer[:n]); err == nil {
-				s.traffic.received[m.Cause()][s.traffic.scope(m.From.Zone)].add(n)
-				receive(m)
-			} else {
+			message := buffer[:n]
+			f, err := fragmentOf(message)
+			if f != nil {
+				if message = fragments.add(time.Now(), f); message == nil {
+					continue
+				}
+			}
+			var m *peer.Message
+			if err == nil {
+				m, err = Decode(message)
+			}
+			if err != nil {
 				s.recorder.Count(part, model.ReasonMalformed)
+				continue
 			}
+			s.traffic.received[m.Cause()][s.traffic.scope(m.From.Zone)].add(len(message))
+			receive(m)
 		}
 	}
 }
