--- a/internal/core/catalog/doubt.go
+++ b/internal/core/catalog/doubt.go
@@ -166,8 +166,8 @@
 func (c *Catalog) coldTime(service string) time.Duration {
 	if c.config != nil {
 		for i := range c.config.Services {
-			if s := &c.config.Services[i]; s.Name == service && s.ColdTime > 0 {
-				return s.ColdTime
+			if s := &c.config.Services[i]; s.Name == service {
+				return s.coldTime()
 			}
 		}
 	}
@@ -180,7 +180,14 @@
 		return defaultColdTime
 	}
 	for i := range c.config.Services {
-		longest = max(longest, c.coldTime(c.config.Services[i].Name))
+		longest = max(longest, c.config.Services[i].coldTime())
 	}
 	return longest
 }
+
+func (s *Service) coldTime() time.Duration {
+	if s.ColdTime > 0 {
+		return s.ColdTime
+	}
+	return defaultColdTime
+}
