platform: a monitored connection that is reset is a doubt at once

A reset shows that the server's machine answers and does not know the connection. The home waited for a probe to raise the doubt, which is inconclusive if all slots of the server are in use.

--- a/internal/control/registry/doubts.go
+++ b/internal/control/registry/doubts.go
@@ -43,7 +43,7 @@
 // home.
 func (m *machine) reportDoubt(server *catalog.ServerEntry) {
 	if run := server.Run(); m.ranksAsHome(server.ID, server.Zone) {
-		m.log.Info("server answers after contact was lost, it may have started again", "server", run.ID, "started", run.Started, "zone", server.Zone)
+		m.log.Info("lost contact to a server, it may have started again", "server", run.ID, "started", run.Started, "zone", server.Zone)
 		m.catalog.DoubtByHome(m.now, run)
 		m.ends.doubtsToReport[run] = true
 	}
--- a/internal/control/registry/ends.go
+++ b/internal/control/registry/ends.go
@@ -132,11 +132,16 @@
 		return // it was stopped
 	}
 	mon.running, mon.nextAt = false, m.now.Add(monitorDelay)
-	if e.result == belief.Ended {
+	switch e.result {
+	case belief.Ended:
 		m.log.Info("server closed its connection and its port", "server", e.server.ID, "zone", e.server.Zone, "started", e.server.Started)
 		m.recordProbe(&e.server, e.at, belief.Ended)
-	} else {
-		m.catalog.RecordMonitorFailed(run, e.result == belief.Unreachable)
+	case belief.Unreachable:
+		m.catalog.RecordMonitorFailed(run, true)
+		m.reportDoubt(&e.server) // it may answer already, and a probe of a busy server is inconclusive
+		m.catalog.MarkSuspect(e.at, run)
+	default:
+		m.catalog.RecordMonitorFailed(run, false)
 		m.catalog.MarkSuspect(e.at, run)
 	}
 }
