--- a/internal/control/registry/doubts.go
+++ b/internal/control/registry/doubts.go
@@ -56,19 +56,7 @@
 		m.log.Info("the home of a server had lost contact, it may have started again", "server", run.ID, "started", run.Started, "instance", message.From.ID)
 	}
 	if m.forwardsToZone(message) {
-		m.sendDoubts(m.peers.tree.others(), message.EndedServers)
-	}
-}
-
-// sendDoubts reports runs in doubt.
-func (m *machine) sendDoubts(recipients []model.Member, runs []catalog.ServerRun) {
-	if len(runs) == 0 {
-		return
-	}
-	for _, to := range recipients {
-		message := m.newMessage(peer.Doubt, to.ID)
-		message.EndedServers = runs
-		m.send(to, message)
+		m.sendRuns(peer.Doubt, m.peers.tree.others(), message.EndedServers)
 	}
 }
 
--- a/internal/control/registry/ends.go
+++ b/internal/control/registry/ends.go
@@ -171,14 +171,8 @@
 		return
 	}
 	recipients := append(m.peers.tree.others(), m.otherRelays()...)
-	ended, doubted := takeRuns(e.toReport), takeRuns(e.doubtsToReport)
-	if len(ended) > 0 && len(doubted) > 0 {
-		e.nextReportAt = m.now.Add(2 * reportPause(len(recipients)))
-	} else {
-		e.nextReportAt = m.now.Add(reportPause(len(recipients)))
-	}
-	m.sendEnded(recipients, ended)
-	m.sendDoubts(recipients, doubted)
+	messages := m.sendRuns(peer.Gossip, recipients, takeRuns(e.toReport)) + m.sendRuns(peer.Doubt, recipients, takeRuns(e.doubtsToReport))
+	e.nextReportAt = m.now.Add(reportPause(messages))
 }
 
 // takeRuns removes as many runs as a message holds. The others follow with the next message.
@@ -203,16 +197,17 @@
 	}
 }
 
-// sendEnded reports ended runs.
-func (m *machine) sendEnded(recipients []model.Member, runs []catalog.ServerRun) {
+// sendRuns reports runs that have ended or, in a Doubt, may have. It returns the number of messages.
+func (m *machine) sendRuns(kind peer.Kind, recipients []model.Member, runs []catalog.ServerRun) int {
 	if len(runs) == 0 {
-		return
+		return 0
 	}
 	for _, to := range recipients {
-		message := m.newMessage(peer.Gossip, to.ID)
+		message := m.newMessage(kind, to.ID)
 		message.EndedServers = runs
 		m.send(to, message)
 	}
+	return len(recipients)
 }
 
 // receiveEnds records the ends of runs that another instance reports. The relay forwards
@@ -231,6 +226,6 @@
 		ended = append(ended, run)
 	}
 	if m.forwardsToZone(message) && !message.Join {
-		m.sendEnded(m.peers.tree.others(), ended)
+		m.sendRuns(peer.Gossip, m.peers.tree.others(), ended)
 	}
 }
--- a/internal/control/registry/model_test.go
+++ b/internal/control/registry/model_test.go
@@ -1,7 +1,9 @@
 package registry
 
 import (
+	"cmp"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -164,17 +166,26 @@
 
 // closeConnections ends the monitors of a server that ends.
 func (w *modelWorld) closeConnections(s *modelServer) {
-	for key, e := range w.monitors[s] {
+	for _, key := range w.monitorsOf(s) {
+		e := w.monitors[s][key]
 		e.at, e.result = w.now+2*ms, belief.Ended
 		w.post(e.at, key.node, e)
 	}
 	delete(w.monitors, s)
 }
 
+// monitorsOf returns the monitors of a server in an order that is the same in each run.
+func (w *modelWorld) monitorsOf(s *modelServer) []monitorKey {
+	return slices.SortedFunc(maps.Keys(w.monitors[s]), func(a, b monitorKey) int {
+		return cmp.Or(cmp.Compare(a.node, b.node), cmp.Compare(a.started, b.started))
+	})
+}
+
 // resetConnections lets the monitors of a server that lost power learn from their next keep-alive
 // probes that it does not know their connections.
 func (w *modelWorld) resetConnections(s *modelServer) {
-	for key, e := range w.monitors[s] {
+	for _, key := range w.monitorsOf(s) {
+		e := w.monitors[s][key]
 		e.at, e.result = w.now+model.Time(w.random.IntN(1000))*ms, belief.Unreachable
 		w.post(e.at, key.node, e)
 	}
--- a/internal/core/catalog/probes.go
+++ b/internal/core/catalog/probes.go
@@ -55,6 +55,8 @@
 // Unreachable servers are probed again even if no flow suspects them, but only if
 // zoneReachable reports that their zone is reachable.
 func (c *Catalog) DueProbes(now model.Time, limit int, zoneReachable func(model.Zone) bool) (due []Probe, next model.Time) {
+	// Random choices that follow the probes are then the same in each run of a simulation.
+	defer func() { slices.SortFunc(due, func(a, b Probe) int { return cmp.Compare(a.Server.ID, b.Server.ID) }) }()
 	for r, s := range c.probeCandidates {
 		suspect := s.SuspectedAt != 0
 		if s.EndProven() || !suspect && !s.RepeatsProbe() {
