registry: an instance whose start is confirmed by another one does no check itself

The check 0.3 s after the start was done even if the confirmation of another instance of the zone, as of a later time, had ended the doubts already. Each check is announced to the whole zone, so a start of everything caused more messages than it needs.

--- a/internal/control/registry/doubts.go
+++ b/internal/control/registry/doubts.go
@@ -33,7 +33,7 @@
 		doubtedAt = max(doubtedAt, m.catalog.LastDoubtAt())
 	}
 	at := doubtedAt.Add(catalog.EntryDelay)
-	if m.failedChecks > 0 || !m.checkSentAt.Before(at) {
+	if m.failedChecks > 0 || !max(m.checkSentAt, m.confirmedAt).Before(at) {
 		return 0
 	}
 	return at.Add(m.checkJitter / settlingJitterPart)
