--- a/internal/control/registry/ends.go
+++ b/internal/control/registry/ends.go
@@ -22,8 +22,8 @@
 	// that between two of them if servers were listed meanwhile.
 	scanInterval    = time.Second
 	minScanInterval = 50 * time.Millisecond
-	// firstScanDelay is the time from the start to the first scan, in which the instance learns of
-	// the others of its zone.
+	// firstScanDelay is the least time from the start to the first scan, in which the instance learns
+	// of the others of its zone.
 	firstScanDelay = 500 * time.Millisecond
 	// monitorDelay is the time until a server that could not be reached is monitored again.
 	monitorDelay = 500 * time.Millisecond
@@ -85,7 +85,7 @@
 // monitors.
 func (m *machine) startMonitors() {
 	e := &m.ends
-	if at := max(e.scanAt, m.peers.started.Add(firstScanDelay)); m.now.Before(at) {
+	if at := max(e.scanAt, m.firstScanAt()); m.now.Before(at) {
 		m.scheduleWake(at)
 		return
 	}
@@ -113,6 +113,16 @@
 	}
 }
 
+// firstScanAt returns when the first scan is due: once the instances of the zone are known, so that each
+// does not monitor all servers, but not later than homeDelay.
+func (m *machine) firstScanAt() model.Time {
+	p := &m.peers
+	if alone := len(p.tree.members) == 1; p.zoneJoined || p.contactAt != 0 && alone {
+		return p.started.Add(firstScanDelay)
+	}
+	return p.started.Add(homeDelay)
+}
+
 // scanSoon makes the next scan for servers to monitor early, because one was listed.
 func (e *ends) scanSoon() { e.scanAt = min(e.scanAt, e.scannedAt.Add(minScanInterval)) }
 
