peerudp, registry: messages are not decoded twice, and a doubt is not derived twice

Every message with an epoch was decoded once to see that its tag is not that of a fragment, and then again. The encoded tag tells that now. Whether a probe raised a doubt follows from its result, so DoubtedAt is gone. The limit of queued bytes named the size of a datagram, which fragments exceed.

--- a/internal/adapter/peerudp/fragments.go
+++ b/internal/adapter/peerudp/fragments.go
@@ -1,6 +1,7 @@
 package peerudp
 
 import (
+	"bytes"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -15,9 +16,12 @@
 // is sent in fragments. Instances of versions without fragments reject them as malformed, as they
 // never got such messages.
 
-// fragmentTag is the number of the CBOR tag that wraps a fragment.
+// fragmentTag is the number of the CBOR tag that wraps a fragment, and fragmentPrefix the encoding of
+// the tag, which tells a fragment without decoding each message twice.
 const fragmentTag = 0x5355_0000
 
+var fragmentPrefix = []byte{0xda, 0x53, 0x55, 0, 0}
+
 // Limits of fragmented messages.
 const (
 	// maxFragmentBytes is the payload of a fragment. The rest of the datagram is for the envelope.
@@ -67,18 +71,12 @@
 // fragmentOf returns the fragment in a datagram; nil if the datagram holds a whole message. The error
 // is port.ErrMalformed.
 func fragmentOf(datagram []byte) (*wireFragment, error) {
-	if len(datagram) == 0 || datagram[0]>>5 != cborTagged {
-		return nil, nil
-	}
-	var tag cbor.RawTag
-	if err := decMode.Unmarshal(datagram, &tag); err != nil {
-		return nil, merry.Wrap(port.ErrMalformed, merry.WithCause(err))
-	}
-	if tag.Number != fragmentTag {
+	content, ok := bytes.CutPrefix(datagram, fragmentPrefix)
+	if !ok {
 		return nil, nil
 	}
 	var f wireFragment
-	if err := decMode.Unmarshal(tag.Content, &f); err != nil {
+	if err := decMode.Unmarshal(content, &f); err != nil {
 		return nil, merry.Wrap(port.ErrMalformed, merry.WithCause(err))
 	}
 	if f.Count < 2 || f.Count > maxFragments || f.Index < 0 || f.Index >= f.Count || len(f.Content) > maxFragmentBytes {
--- a/internal/control/registry/control.go
+++ b/internal/control/registry/control.go
@@ -39,8 +39,8 @@
 // instances, which arrive in bursts when many registry entries change.
 const eventQueueSize = 1024
 
-// maxQueuedBytes limits the memory of the registry entries in queued messages, which can have
-// 64 kB each.
+// maxQueuedBytes limits the memory of the registry entries in queued messages, which can have a
+// whole configuration each.
 const maxQueuedBytes = 8 << 20
 
 // Options configure a Control. All are required except Seeds, LoadInterval, Log and
--- a/internal/control/registry/machine.go
+++ b/internal/control/registry/machine.go
@@ -270,10 +270,10 @@
 // failure. It reports whether the result differs from the previous one.
 func (m *machine) recordProbe(server *catalog.ServerEntry, sentAt model.Time, result belief.ProbeResult) bool {
 	_, answeredBefore := m.catalog.EndSeen(server.Run())
-	lostBefore, doubtedBefore := m.catalog.Lost(server.Run()), m.catalog.DoubtedAt(server.Run())
+	lostBefore := m.catalog.Lost(server.Run())
 	changed := m.catalog.RecordProbe(sentAt, m.now, server.Run(), result)
 	_, answered := m.catalog.EndSeen(server.Run())
-	if lostBefore && m.catalog.DoubtedAt(server.Run()) != doubtedBefore {
+	if lostBefore && result == belief.Reachable {
 		m.reportDoubt(server)
 	}
 	if result == belief.Ended || answered && !answeredBefore {
--- a/internal/core/catalog/doubt.go
+++ b/internal/core/catalog/doubt.go
@@ -66,14 +66,6 @@
 	}
 }
 
-// DoubtedAt returns the time of the latest doubt of a run; 0 for none.
-func (c *Catalog) DoubtedAt(r ServerRun) model.Time {
-	if s := c.servers[r]; s != nil {
-		return s.doubtedAt
-	}
-	return 0
-}
-
 // LastDoubtAt returns the time of the latest doubt of any server or zone; 0 for none.
 func (c *Catalog) LastDoubtAt() model.Time { return c.lastDoubtAt }
 
